--- /dev/null
+++ b/Makefile
@@ -0,0 +1,50 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+SOURCES := verbenashore standins lab tests spec
+
+.PHONY: demo test format lint unit spec spec-mutants soak measure capacity known-red clean
+
+$(VENV)/stamp: requirements/run.txt requirements/dev.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements/dev.txt
+	$(BIN)/pip install -q --no-deps --no-build-isolation -e . || $(BIN)/pip install -q --no-deps -e .
+	touch $@
+
+demo: $(VENV)/stamp
+	sh lab/demo.sh $(BIN)
+
+test: lint unit known-red
+
+lint: $(VENV)/stamp
+	$(BIN)/black --check --quiet $(SOURCES)
+	$(BIN)/ruff check --quiet $(SOURCES)
+	$(BIN)/mypy --no-error-summary
+
+format: $(VENV)/stamp
+	$(BIN)/ruff check --fix --quiet $(SOURCES)
+	$(BIN)/black --quiet $(SOURCES)
+
+unit: $(VENV)/stamp
+	$(BIN)/pytest
+
+known-red:
+	@if [ -s KNOWN-RED.txt ]; then cat KNOWN-RED.txt; fi
+
+soak: $(VENV)/stamp
+	VERBENA_SOAK=1 $(BIN)/pytest tests/test_consensus.py tests/test_machine.py --timeout 3600
+
+spec: $(VENV)/stamp
+	$(BIN)/python spec/check.py
+
+spec-mutants: $(VENV)/stamp
+	$(BIN)/python spec/check.py --mutants
+
+measure: $(VENV)/stamp
+	$(BIN)/python -m lab.measure
+
+capacity: $(VENV)/stamp
+	$(BIN)/python -m lab.capacity
+
+clean:
+	rm -rf $(VENV) run spec/build
--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: a deployment on loopback, loads, measurements."""
--- /dev/null
+++ b/spec/check.py
@@ -0,0 +1,1 @@
+"""Runs the models of the protocols."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems that verbenashore serves and is served by."""
--- /dev/null
+++ b/standins/relay.py
@@ -0,0 +1,87 @@
+"""A TCP relay that can go silent: open connections stall for good while new ones work."""
+
+import argparse
+import asyncio
+import contextlib
+
+from verbenashore.settings import Address, parse_address
+
+READ_BYTES = 64 << 10
+
+
+class Relay:
+    """Passes bytes on until it is told to forget the connections it has."""
+
+    def __init__(self, target: Address) -> None:
+        self._target = target
+        self._open: set[asyncio.Event] = set()
+        self.blocked = False
+
+    def silence(self) -> None:
+        """Stalls every open connection without closing it."""
+        for silent in self._open:
+            silent.set()
+
+    async def connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serves one connection."""
+        silent = asyncio.Event()
+        if self.blocked:
+            silent.set()
+        self._open.add(silent)
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                self._target.host, self._target.port
+            )
+        except OSError:
+            writer.close()
+            return
+        try:
+            await asyncio.gather(
+                _pass_on(reader, far_writer, silent), _pass_on(far_reader, writer, silent)
+            )
+        finally:
+            self._open.discard(silent)
+            writer.close()
+            far_writer.close()
+
+    async def control(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Takes one-line orders: ``silence``, ``block`` (new ones too) or ``unblock``."""
+        order = (await reader.readline()).decode().strip()
+        self.blocked = order == "block"
+        if order in ("silence", "block"):
+            self.silence()
+        writer.write(b"ok\n")
+        await writer.drain()
+        writer.close()
+
+
+async def _pass_on(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, silent: asyncio.Event
+) -> None:
+    with contextlib.suppress(ConnectionError):
+        while data := await reader.read(READ_BYTES):
+            if silent.is_set():
+                await asyncio.Event().wait()
+            writer.write(data)
+            await writer.drain()
+    writer.close()
+
+
+async def main() -> None:
+    """Runs the relay."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--listen", required=True)
+    parser.add_argument("--target", required=True)
+    parser.add_argument("--control", required=True)
+    given = parser.parse_args()
+    relay = Relay(parse_address(given.target))
+    listen, control = parse_address(given.listen), parse_address(given.control)
+    servers = [
+        await asyncio.start_server(relay.connected, listen.host, listen.port),
+        await asyncio.start_server(relay.control, control.host, control.port),
+    ]
+    await asyncio.gather(*(server.serve_forever() for server in servers))
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,47 @@
+"""A stand-in plain service that keeps credits and counts each post."""
+
+import argparse
+import asyncio
+import json
+from collections import Counter
+
+from verbenashore import httpserver
+from verbenashore.httpserver import Request, Responder
+
+
+class CreditService:
+    """Credits by account; a post adds to them, however often it comes."""
+
+    def __init__(self, delay: float) -> None:
+        self._delay = delay
+        self._credit_by_account: Counter[str] = Counter()
+        self._posts_by_key: Counter[str] = Counter()
+
+    async def handle(self, request: Request, respond: Responder) -> None:
+        """Answers one request."""
+        await asyncio.sleep(self._delay)
+        account = request.path.rpartition("/")[2]
+        if request.path == "/posts":
+            await respond.json(200, dict(self._posts_by_key))
+        elif request.method == "POST":
+            amount = json.loads(request.body)["amount"]
+            self._credit_by_account[account] += amount
+            self._posts_by_key[request.headers.get("idempotency-key", "")] += 1
+            await respond.json(201, {"account": account, "posted": amount})
+        else:
+            credit = self._credit_by_account[account]
+            await respond.json(200, {"account": account, "credit": credit})
+
+
+async def main() -> None:
+    """Runs the stand-in."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--listen", required=True)
+    parser.add_argument("--delay", type=float, default=0.0, help="seconds for each answer")
+    given = parser.parse_args()
+    service = CreditService(given.delay)
+    await httpserver.serve(given.listen, service.handle, asyncio.Event())
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""The tests; each module mirrors one of the package."""
--- /dev/null
+++ b/verbenashore/admin.py
@@ -0,0 +1,228 @@
+"""The operators' interface: configuration, history, status, drains."""
+
+import contextlib
+from typing import Any
+
+import msgspec
+
+from verbenashore import deployment, misc
+from verbenashore.callers import bearer_key
+from verbenashore.client import GroupClient
+from verbenashore.completions import decode_object
+from verbenashore.control import ApplyChange, Change, ChangeResult
+from verbenashore.exceptions import (
+    BadRequestError,
+    KeyConflictError,
+    NotFoundError,
+    RevisionConflictError,
+    UnauthorizedError,
+    UnavailableError,
+    VerbenaError,
+)
+from verbenashore.httpserver import Request, Responder
+from verbenashore.messages import (
+    AskStatus,
+    History,
+    LedgerStatus,
+    ListMembers,
+    Member,
+    Members,
+    ReadHistory,
+)
+from verbenashore.process import Process
+from verbenashore.shards import Shards
+from verbenashore.types import ChangeId, MemberName, Revision
+
+PREFIX = "/admin/v1/"
+CONTROL_SECONDS = 8.0
+STATUS_SECONDS = 1.0
+DRAIN_TRIES = 5
+
+
+class AdminInterface:
+    """Answers operators, who have a key of their own."""
+
+    def __init__(self, running: Process, shards: Shards) -> None:
+        self._process = running
+        self._shards = shards
+
+    async def handle(self, request: Request, respond: Responder) -> bool:
+        """Answers a request of this interface; false if the path is none of its paths."""
+        if not request.path.startswith(PREFIX):
+            return False
+        self._authorize(request)
+        match request.method, request.path.removeprefix(PREFIX).split("/"):
+            case "POST", ["apply"]:
+                await self._apply(request, respond)
+            case "POST", ["diff"]:
+                await self._diff(request, respond)
+            case "GET", ["history"]:
+                await self._history(respond)
+            case "GET", ["status"]:
+                await self._status(respond)
+            case "POST", [("drain" | "undrain") as action, name]:
+                await self._drain(request, respond, action == "drain", MemberName(name))
+            case _:
+                return False
+        return True
+
+    def _authorize(self, request: Request) -> None:
+        if deployment.hash_key(bearer_key(request)) != self._process.settings.operator_key:
+            raise UnauthorizedError(
+                "this is not the operators' key",
+                step="authorize",
+                field="authorization",
+                not_run=True,
+            )
+
+    @property
+    def _control(self) -> GroupClient:
+        return self._shards.control
+
+    async def _read_history(self) -> list[Change]:
+        answer = await self._control.ask(ReadHistory(), CONTROL_SECONDS)
+        if not isinstance(answer, History):
+            raise VerbenaError("unexpected answer", step="history")
+        return answer.changes
+
+    async def _apply(self, request: Request, respond: Responder) -> None:
+        document = decode_object(request.body)
+        text = document.get("file")
+        if not isinstance(text, str):
+            raise _bad("file", "must be text")
+        deployment.parse(text)
+        history = await self._read_history()
+        drained = history[-1].drained if history else []
+        command = ApplyChange(
+            _change_id(document),
+            _expected(document),
+            _author(document),
+            misc.digest(text.encode()),
+            text,
+            drained,
+        )
+        await respond.json(200, _change_document(await self._commit(command)))
+
+    async def _drain(
+        self, request: Request, respond: Responder, wanted: bool, name: MemberName
+    ) -> None:
+        document = decode_object(request.body or b"{}")
+        change_id = _change_id(document)
+        if wanted and name not in {member.name for member in await self._read_members()}:
+            raise NotFoundError(
+                f"there is no member {name!r}", step="drain", field="name", not_run=True
+            )
+        for _ in range(DRAIN_TRIES):
+            command = await self._drain_command(change_id, _author(document), wanted, name)
+            # The operator named no revision, so losing a race to another change is no conflict.
+            with contextlib.suppress(RevisionConflictError):
+                await respond.json(200, _change_document(await self._commit(command)))
+                return
+        raise UnavailableError("other changes keep coming first", step="drain", not_run=True)
+
+    async def _drain_command(
+        self, change_id: ChangeId, author: str, wanted: bool, name: MemberName
+    ) -> ApplyChange:
+        history = await self._read_history()
+        if not history:
+            raise NotFoundError("nothing is configured yet", step="drain", not_run=True)
+        now = history[-1]
+        drained = sorted({*now.drained, name} if wanted else {*now.drained} - {name})
+        content = f"{'drain' if wanted else 'undrain'} {name}"
+        return ApplyChange(change_id, now.revision, author, content, now.text, drained)
+
+    async def _commit(self, command: ApplyChange) -> ChangeResult:
+        result = await self._control.propose(command, CONTROL_SECONDS)
+        if not isinstance(result, ChangeResult):
+            raise UnavailableError("unexpected answer", step="apply")
+        if result.mismatched:
+            raise KeyConflictError(
+                f"change {command.change} was sent before with other content",
+                step="apply",
+                field="change_id",
+                not_run=True,
+            )
+        if not result.applied:
+            raise RevisionConflictError(result.revision, result.winner)
+        return result
+
+    async def _read_members(self) -> list[Member]:
+        answer = await self._control.ask(ListMembers(), CONTROL_SECONDS)
+        return answer.members if isinstance(answer, Members) else []
+
+    async def _diff(self, request: Request, respond: Responder) -> None:
+        text = decode_object(request.body).get("file")
+        if not isinstance(text, str):
+            raise _bad("file", "must be text")
+        deployment.parse(text)
+        history = await self._read_history()
+        lines = deployment.difference(history[-1].text if history else "", text)
+        revision = history[-1].revision if history else 0
+        await respond.json(200, {"revision": revision, "diff": lines})
+
+    async def _history(self, respond: Responder) -> None:
+        changes = [
+            {
+                "revision": change.revision,
+                "change_id": change.change,
+                "author": change.author,
+                "drained": change.drained,
+                "digest": misc.digest(change.text.encode()),
+            }
+            for change in await self._read_history()
+        ]
+        await respond.json(200, {"changes": changes})
+
+    async def _status(self, respond: Responder) -> None:
+        members = sorted(await self._read_members(), key=lambda member: member.name)
+        history = await self._read_history()
+        revision = history[-1].revision if history else 0
+        behind = [member.name for member in members if member.revision < revision]
+        document = {
+            "revision": revision,
+            "in_force": not behind,
+            "behind": behind,
+            "members": [msgspec.to_builtins(member) for member in members],
+            "ledgers": await self._ledger_status(),
+        }
+        await respond.json(200, document)
+
+    async def _ledger_status(self) -> list[dict[str, Any]]:
+        found: list[dict[str, Any]] = []
+        for address in self._process.settings.ledgers:
+            link = self._process.links.to(str(address))
+            try:
+                answer = await link.call(AskStatus(), STATUS_SECONDS)
+            except VerbenaError as error:
+                found.append({"address": str(address), "error": error.message})
+                continue
+            assert isinstance(answer, LedgerStatus)
+            groups = [msgspec.structs.asdict(group) for group in answer.groups]
+            found.append({"address": str(address), "name": answer.name, "groups": groups})
+        return found
+
+
+def _change_document(result: ChangeResult) -> dict[str, Any]:
+    return {"applied": True, "revision": result.revision, "change_id": result.winner}
+
+
+def _change_id(document: dict[str, Any]) -> ChangeId:
+    value = document.get("change_id")
+    if not isinstance(value, str) or not value:
+        raise _bad("change_id", "must be text")
+    return ChangeId(value)
+
+
+def _expected(document: dict[str, Any]) -> Revision:
+    value = document.get("expect_revision")
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise _bad("expect_revision", "must be a whole number of at least 0")
+    return Revision(value)
+
+
+def _author(document: dict[str, Any]) -> str:
+    return str(document.get("author", ""))
+
+
+def _bad(field: str, problem: str) -> BadRequestError:
+    return BadRequestError(f"{field} {problem}", step="parse", field=field, not_run=True)
--- /dev/null
+++ b/verbenashore/batches.py
@@ -0,0 +1,476 @@
+"""The callers' interface for files and batch jobs, in the form OpenAI clients expect."""
+
+import re
+import time
+from collections.abc import AsyncIterator
+from email.message import Message
+from typing import Any
+
+import msgspec
+
+from verbenashore import completions, jobs, misc
+from verbenashore.callers import CallerDirectory, idempotency_key
+from verbenashore.client import GroupClient
+from verbenashore.deployment import Workspace
+from verbenashore.exceptions import (
+    BadRequestError,
+    KeyConflictError,
+    NotFoundError,
+    UnavailableError,
+    VerbenaError,
+)
+from verbenashore.httpserver import Request, Responder
+from verbenashore.jobs import FileView, ItemView, ItemViews, JobView, NewItem
+from verbenashore.messages import (
+    FilePart,
+    Files,
+    Jobs,
+    ListFiles,
+    ListJobs,
+    ReadFile,
+    ReadItems,
+    ReadJob,
+    ReadPart,
+)
+from verbenashore.process import Process
+from verbenashore.shards import Shards
+from verbenashore.types import FileId, IdempotencyKey, ItemState, JobId, MemberName
+from verbenashore.view import SystemView
+
+FILES_PATH = "/v1/files"
+BATCHES_PATH = "/v1/batches"
+LEDGER_SECONDS = 10.0
+PART_BYTES = 512 << 10
+CHUNK_ITEMS = 500
+CHUNK_BYTES = 1 << 20
+PAGE_ITEMS = 500
+MAX_ITEMS = 1_000_000
+MAX_LISTED = 100
+WINDOWS = {"24h": None}
+WINDOW_FORM = re.compile(r"(\d{1,6})(s|m|h)")
+SECONDS_BY_UNIT = {"s": 1, "m": 60, "h": 3600}
+OUTPUT_SUFFIX = "-output"
+ERROR_SUFFIX = "-error"
+
+
+class BatchInterface:
+    """Answers requests for files and batch jobs."""
+
+    def __init__(
+        self, running: Process, view: SystemView, shards: Shards, callers: CallerDirectory
+    ) -> None:
+        self._process = running
+        self._view = view
+        self._shards = shards
+        self._callers = callers
+        self._holder = MemberName(running.incarnation)
+
+    async def handle(self, request: Request, respond: Responder) -> bool:
+        """Answers a request of this interface; false if the path is none of its paths."""
+        for root, route in ((FILES_PATH, self._route_file), (BATCHES_PATH, self._route_batch)):
+            if request.path == root or request.path.startswith(f"{root}/"):
+                workspace = self._callers.find(request)
+                rest = request.path.removeprefix(root).strip("/").split("/")
+                return await route(workspace, rest, request, respond)
+        return False
+
+    async def _route_file(
+        self, workspace: Workspace, rest: list[str], request: Request, respond: Responder
+    ) -> bool:
+        match request.method, rest:
+            case "POST", [""]:
+                await self._upload(workspace, request, respond)
+            case "GET", [""]:
+                await self._list_files(workspace, respond)
+            case "GET", [file_id]:
+                view = await self._read_file(workspace, FileId(file_id))
+                await respond.json(200, _file_document(view))
+            case "GET", [file_id, "content"]:
+                await self._send_content(workspace, FileId(file_id), respond)
+            case _:
+                return False
+        return True
+
+    async def _route_batch(
+        self, workspace: Workspace, rest: list[str], request: Request, respond: Responder
+    ) -> bool:
+        match request.method, rest:
+            case "POST", [""]:
+                await self._create(workspace, request, respond)
+            case "GET", [""]:
+                await self._list_jobs(workspace, request, respond)
+            case "GET", [job_id]:
+                view = await self._read_job(workspace, JobId(job_id))
+                await respond.json(200, _job_document(view))
+            case "POST", [job_id, "cancel"]:
+                await self._cancel(workspace, JobId(job_id), respond)
+            case _:
+                return False
+        return True
+
+    async def _upload(self, workspace: Workspace, request: Request, respond: Responder) -> None:
+        name, purpose, content = _parse_upload(request)
+        view = await self._store_file(workspace, name, purpose, content)
+        await respond.json(200, _file_document(view))
+
+    async def _store_file(
+        self, workspace: Workspace, name: str, purpose: str, content: bytes
+    ) -> FileView:
+        """Stores a file; the same content under the same name is the same file."""
+        fingerprint = misc.digest(f"{name}\n{purpose}\n".encode() + content)
+        shard = self._shards.for_key(workspace.name, IdempotencyKey(fingerprint))
+        file_id = FileId(self._shards.new_id("file", shard.group))
+        create = jobs.CreateFile(
+            file_id,
+            workspace.name,
+            self._holder,
+            name,
+            purpose,
+            len(content),
+            int(time.time()),
+            self._view.deployment.retention.jobs_seconds,
+        )
+        await shard.propose(create, LEDGER_SECONDS)
+        for part, offset in enumerate(range(0, len(content), PART_BYTES)):
+            data = content[offset : offset + PART_BYTES]
+            await shard.propose(jobs.AppendFile(file_id, part, data), LEDGER_SECONDS)
+        view = await shard.propose(jobs.SealFile(file_id), LEDGER_SECONDS)
+        if not isinstance(view, FileView):
+            raise UnavailableError("the file was not stored whole", step="upload", not_run=True)
+        return view
+
+    async def _list_files(self, workspace: Workspace, respond: Responder) -> None:
+        found: list[FileView] = []
+        for group, shard in self._shards.by_group.items():
+            answer = await shard.ask(ListFiles(group, workspace.name), LEDGER_SECONDS)
+            found += answer.files if isinstance(answer, Files) else []
+        data = [_file_document(view) for view in found[-MAX_LISTED:]]
+        await respond.json(200, {"object": "list", "data": data, "has_more": False})
+
+    async def _read_file(self, workspace: Workspace, file_id: FileId) -> FileView:
+        job_id, is_output = _job_of_file(file_id)
+        if job_id is not None:
+            job = await self._read_job(workspace, job_id)
+            name = "output.jsonl" if is_output else "errors.jsonl"
+            return FileView(file_id, workspace.name, name, "batch_output", 0, job.created_at, 0)
+        shard = self._shards.for_id(file_id)
+        view = await shard.ask(ReadFile(shard.group, workspace.name, file_id), LEDGER_SECONDS)
+        assert isinstance(view, FileView)
+        return view
+
+    async def _send_content(
+        self, workspace: Workspace, file_id: FileId, respond: Responder
+    ) -> None:
+        job_id, is_output = _job_of_file(file_id)
+        if job_id is None:
+            view = await self._read_file(workspace, file_id)
+            parts = self._stored_parts(workspace, view)
+        else:
+            job = await self._read_job(workspace, job_id)
+            parts = self._outcome_parts(workspace, job, is_output)
+        await respond.start(200, "application/octet-stream", {})
+        async for part in parts:
+            if part:
+                await respond.chunk(part)
+        await respond.end()
+
+    async def _stored_parts(self, workspace: Workspace, view: FileView) -> AsyncIterator[bytes]:
+        shard = self._shards.for_id(view.file)
+        for part in range(view.parts):
+            ask = ReadPart(shard.group, workspace.name, view.file, part)
+            answer = await shard.ask(ask, LEDGER_SECONDS)
+            assert isinstance(answer, FilePart)
+            yield answer.data
+
+    async def _outcome_parts(
+        self, workspace: Workspace, job: JobView, is_output: bool
+    ) -> AsyncIterator[bytes]:
+        shard = self._shards.for_id(job.job)
+        for first in range(0, job.total, PAGE_ITEMS):
+            ask = ReadItems(shard.group, workspace.name, job.job, first, PAGE_ITEMS)
+            page = await shard.ask(ask, LEDGER_SECONDS)
+            assert isinstance(page, ItemViews)
+            yield b"".join(
+                _outcome_line(job, item)
+                for item in page.items
+                if (item.state is ItemState.COMPLETED) == is_output and _has_ended(item)
+            )
+
+    async def _create(self, workspace: Workspace, request: Request, respond: Responder) -> None:
+        document = completions.decode_object(request.body)
+        endpoint = _field(document, "endpoint")
+        if endpoint not in completions.PATHS:
+            raise _bad("endpoint", f"must be one of {', '.join(sorted(completions.PATHS))}")
+        window_text = _field(document, "completion_window")
+        window = self._window_seconds(window_text)
+        metadata = _metadata(document)
+        file_id = FileId(_field(document, "input_file_id"))
+        content = await self._read_content(workspace, file_id)
+        items = self._parse_items(content, endpoint)
+        digest = misc.digest(
+            msgspec.json.encode([endpoint, window_text, misc.digest(content), metadata])
+        )
+        key = idempotency_key(request) or IdempotencyKey(f"content:{digest}")
+        shard = self._shards.for_key(workspace.name, key)
+        create = jobs.CreateJob(
+            JobId(self._shards.new_id("batch", shard.group)),
+            workspace.name,
+            key,
+            digest,
+            self._holder,
+            endpoint,
+            file_id,
+            window,
+            window_text,
+            metadata,
+            int(time.time()),
+            self._view.deployment.retention.jobs_seconds,
+        )
+        view = await self._load_job(shard, create, items)
+        await respond.json(200, _job_document(view))
+
+    async def _load_job(
+        self, shard: GroupClient, create: jobs.CreateJob, items: list[NewItem]
+    ) -> JobView:
+        """Loads a job chunk by chunk; it is accepted with the last command, or not at all."""
+        view = await shard.propose(create, LEDGER_SECONDS)
+        assert isinstance(view, JobView)
+        if view.conflict:
+            raise KeyConflictError(
+                f"the key belongs to {view.job}, which has other content",
+                step="accept",
+                field="idempotency-key",
+                not_run=True,
+            )
+        if not view.fresh:
+            if view.state is jobs.JobState.LOADING:
+                raise UnavailableError(
+                    f"{view.job} is being loaded; ask again", step="accept", not_run=True
+                )
+            return view
+        for first, chunk in _chunks(items):
+            await shard.propose(jobs.AddItems(create.job, first, chunk), LEDGER_SECONDS)
+        sealed = await shard.propose(jobs.SealJob(create.job, len(items)), LEDGER_SECONDS)
+        if not isinstance(sealed, JobView):
+            raise UnavailableError("the batch was not stored whole", step="accept", not_run=True)
+        return sealed
+
+    def _window_seconds(self, text: str) -> float:
+        if text in WINDOWS:
+            return self._view.deployment.batch.window_seconds
+        match = WINDOW_FORM.fullmatch(text)
+        if match is None or int(match[1]) == 0:
+            raise _bad("completion_window", "must be 24h or a number with s, m or h")
+        return float(int(match[1]) * SECONDS_BY_UNIT[match[2]])
+
+    async def _read_content(self, workspace: Workspace, file_id: FileId) -> bytes:
+        try:
+            view = await self._read_file(workspace, file_id)
+        except (NotFoundError, BadRequestError):
+            raise NotFoundError(
+                f"there is no file {file_id!r}", step="read", field="input_file_id", not_run=True
+            ) from None
+        return b"".join([part async for part in self._stored_parts(workspace, view)])
+
+    def _parse_items(self, content: bytes, endpoint: str) -> list[NewItem]:
+        lines = [line for line in content.splitlines() if line.strip()]
+        if not 1 <= len(lines) <= MAX_ITEMS:
+            raise _bad("input_file_id", f"must hold 1 to {MAX_ITEMS} lines")
+        models = {model for backend in self._view.deployment.backend for model in backend.models}
+        seen: set[str] = set()
+        items = []
+        for number, line in enumerate(lines, 1):
+            item = _parse_item(number, line, endpoint, models)
+            if item.custom_id in seen:
+                raise _bad(f"line {number}: custom_id", f"{item.custom_id!r} stands twice")
+            seen.add(item.custom_id)
+            items.append(item)
+        return items
+
+    async def _list_jobs(self, workspace: Workspace, request: Request, respond: Responder) -> None:
+        found: list[JobView] = []
+        for group, shard in self._shards.by_group.items():
+            answer = await shard.ask(ListJobs(group, workspace.name), LEDGER_SECONDS)
+            found += answer.jobs if isinstance(answer, Jobs) else []
+        found.sort(key=lambda view: (-view.created_at, view.job))
+        after = request.query.get("after")
+        positions = [n for n, view in enumerate(found) if view.job == after]
+        rest = found[positions[0] + 1 :] if positions else found
+        size = request.query.get("limit", "20")
+        if not size.isdigit() or not 1 <= int(size) <= MAX_LISTED:
+            raise _bad("limit", f"must be 1 to {MAX_LISTED}")
+        page = [_job_document(view) for view in rest[: int(size)]]
+        ends = {"first_id": page[0]["id"], "last_id": page[-1]["id"]} if page else {}
+        document = {"object": "list", "data": page, "has_more": len(rest) > int(size)}
+        await respond.json(200, document | ends)
+
+    async def _read_job(self, workspace: Workspace, job_id: JobId) -> JobView:
+        shard = self._shards.for_id(job_id)
+        view = await shard.ask(ReadJob(shard.group, workspace.name, job_id), LEDGER_SECONDS)
+        assert isinstance(view, JobView)
+        return view
+
+    async def _cancel(self, workspace: Workspace, job_id: JobId, respond: Responder) -> None:
+        shard = self._shards.for_id(job_id)
+        view = await shard.propose(jobs.CancelJob(job_id, workspace.name), LEDGER_SECONDS)
+        if not isinstance(view, JobView):
+            raise NotFoundError("no such batch", step="cancel", field="id", not_run=True)
+        await respond.json(200, _job_document(view))
+
+
+def _chunks(items: list[NewItem]) -> list[tuple[int, list[NewItem]]]:
+    chunks: list[tuple[int, list[NewItem]]] = []
+    size = 0
+    for position, item in enumerate(items):
+        if not chunks or len(chunks[-1][1]) >= CHUNK_ITEMS or size > CHUNK_BYTES:
+            chunks.append((position, []))
+            size = 0
+        chunks[-1][1].append(item)
+        size += len(item.body)
+    return chunks
+
+
+def _parse_upload(request: Request) -> tuple[str, str, bytes]:
+    """Reads the name, the purpose and the content out of a multipart form.
+
+    :raises BadRequestError: naming the part at fault.
+    """
+    header = Message()
+    header["content-type"] = request.headers.get("content-type", "")
+    boundary = header.get_param("boundary")
+    if header.get_content_type() != "multipart/form-data" or not isinstance(boundary, str):
+        raise _bad("content-type", "must be multipart/form-data with a boundary")
+    parts: dict[str, tuple[str, bytes]] = {}
+    for piece in (b"\r\n" + request.body).split(f"\r\n--{boundary}".encode())[1:-1]:
+        head, _, content = piece.partition(b"\r\n\r\n")
+        described = Message()
+        described["content-disposition"] = _disposition(head)
+        name = described.get_param("name", header="content-disposition")
+        file_name = described.get_param("filename", "", header="content-disposition")
+        parts[str(name)] = (str(file_name), content)
+    if "file" not in parts:
+        raise _bad("file", "is required")
+    purpose = parts.get("purpose", ("", b""))[1].decode("utf-8", "replace")
+    if purpose != "batch":
+        raise _bad("purpose", "must be 'batch'")
+    return parts["file"][0] or "file", purpose, parts["file"][1]
+
+
+def _disposition(head: bytes) -> str:
+    lines = head.decode("utf-8", "replace").split("\r\n")
+    prefix = "content-disposition:"
+    found = [line for line in lines if line.lower().startswith(prefix)]
+    return found[0][len(prefix) :].strip() if found else ""
+
+
+def _parse_item(number: int, line: bytes, endpoint: str, models: set[str]) -> NewItem:
+    """Reads one line; what only concerns the item itself becomes its fault.
+
+    :raises BadRequestError: if the line is no item at all.
+    """
+    try:
+        document = completions.decode_object(line)
+    except BadRequestError as error:
+        raise _bad(f"line {number}", error.message) from None
+    custom_id = document.get("custom_id")
+    if not isinstance(custom_id, str) or not custom_id:
+        raise _bad(f"line {number}: custom_id", "must be text")
+    if document.get("url") != endpoint:
+        raise _bad(f"line {number}: url", f"must be {endpoint}")
+    if not isinstance(document.get("body"), dict):
+        raise _bad(f"line {number}: body", "must be an object")
+    body = msgspec.json.encode(document["body"])
+    try:
+        call = completions.parse_call(endpoint, body)
+        if call.model not in models:
+            raise _bad("model", f"{call.model!r} is unknown")
+    except BadRequestError as error:
+        return NewItem(custom_id, "", body, 0, _fault(error))
+    return NewItem(custom_id, call.model, body, call.prompt_tokens + call.max_tokens)
+
+
+def _fault(error: VerbenaError) -> bytes:
+    document = {"code": error.code, "message": error.message, "param": error.field}
+    return msgspec.json.encode({"error": document})
+
+
+def _job_of_file(file_id: FileId) -> tuple[JobId | None, bool]:
+    """Returns the job whose outcomes a file id stands for, and whether it is the output file."""
+    for suffix in (OUTPUT_SUFFIX, ERROR_SUFFIX):
+        if file_id.endswith(suffix):
+            job_id = file_id.removesuffix(suffix).removeprefix("file-")
+            return JobId(job_id), suffix == OUTPUT_SUFFIX
+    return None, False
+
+
+def _has_ended(item: ItemView) -> bool:
+    return item.state not in (ItemState.WAITING, ItemState.LEASED)
+
+
+def _outcome_line(job: JobView, item: ItemView) -> bytes:
+    line: dict[str, Any] = {
+        "id": f"{job.job}-{item.position}",
+        "custom_id": item.custom_id,
+        "response": None,
+        "error": None,
+    }
+    if item.status:
+        body = msgspec.Raw(item.body) if item.body else None
+        line["response"] = {"status_code": item.status, "request_id": line["id"], "body": body}
+    if item.state is not ItemState.COMPLETED:
+        message = item.body.decode("utf-8", "replace") or f"the item was {item.state.value}"
+        line["error"] = {"code": f"item_{item.state.value}", "message": message}
+    return msgspec.json.encode(line) + b"\n"
+
+
+def _file_document(view: FileView) -> dict[str, Any]:
+    return {
+        "id": view.file,
+        "object": "file",
+        "bytes": view.size,
+        "created_at": view.created_at,
+        "filename": view.name,
+        "purpose": view.purpose,
+        "status": "processed",
+    }
+
+
+def _job_document(view: JobView) -> dict[str, Any]:
+    ended = view.state not in (jobs.JobState.LOADING, jobs.JobState.RUNNING)
+    has_errors = view.completed < view.total
+    return {
+        "id": view.job,
+        "object": "batch",
+        "endpoint": view.endpoint,
+        "input_file_id": view.input_file,
+        "completion_window": view.window_text,
+        "status": view.state.value,
+        "created_at": view.created_at,
+        "output_file_id": f"file-{view.job}{OUTPUT_SUFFIX}" if ended else None,
+        "error_file_id": f"file-{view.job}{ERROR_SUFFIX}" if ended and has_errors else None,
+        "errors": None,
+        "metadata": view.metadata or None,
+        "request_counts": {
+            "total": view.total,
+            "completed": view.completed,
+            "failed": view.failed,
+        },
+    }
+
+
+def _field(document: dict[str, Any], name: str) -> str:
+    value = document.get(name)
+    if not isinstance(value, str) or not value:
+        raise _bad(name, "must be text")
+    return value
+
+
+def _metadata(document: dict[str, Any]) -> dict[str, str]:
+    value = document.get("metadata") or {}
+    if not isinstance(value, dict) or not all(isinstance(text, str) for text in value.values()):
+        raise _bad("metadata", "must map text to text")
+    return value
+
+
+def _bad(field: str, problem: str) -> BadRequestError:
+    return BadRequestError(f"{field} {problem}", step="parse", field=field, not_run=True)
--- /dev/null
+++ b/verbenashore/batchwork.py
@@ -0,0 +1,220 @@
+"""The part of an agent that pulls batch items, runs them and hands their results in."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from verbenashore import admission, completions, engine, logs, misc
+from verbenashore.admission import Piece, PieceId
+from verbenashore.completions import Completion
+from verbenashore.deployment import Backend
+from verbenashore.exceptions import (
+    BackendError,
+    BackendRefusedError,
+    UnavailableError,
+    VerbenaError,
+)
+from verbenashore.jobs import CompleteItems, ItemResult, LeasedItem, LeasedItems, LeaseItems
+from verbenashore.logs import Event
+from verbenashore.messages import SessionRenewed
+from verbenashore.process import Process
+from verbenashore.shards import Shards
+from verbenashore.slots import Slots
+from verbenashore.types import GroupId, JobId, MemberName, WorkClass
+
+PULL_SECONDS = 0.05
+FLUSH_SECONDS = 0.02
+LEDGER_SECONDS = 5.0
+PROGRESS_SECONDS = 15.0
+
+
+class HeldItem(msgspec.Struct):
+    """An item that this agent holds a lease on.
+
+    :param text: what was produced before the item last yielded.
+    """
+
+    group: GroupId
+    leased: LeasedItem
+    task: asyncio.Task[None] | None = None
+    text: str = ""
+    tokens: int = 0
+    yielded: bool = False
+
+    @property
+    def key(self) -> PieceId:
+        """Names the item in the agent's queue."""
+        return PieceId(f"{self.leased.job}/{self.leased.position}/{self.leased.attempt}")
+
+
+class BatchWorker:
+    """Owns the items that this agent holds."""
+
+    def __init__(
+        self,
+        running: Process,
+        shards: Shards,
+        slots: Slots,
+        backend: Callable[[], Backend | None],
+        is_serving: Callable[[], bool],
+    ) -> None:
+        self._process = running
+        self._shards = shards
+        self._slots = slots
+        self._backend = backend
+        self._is_serving = is_serving
+        self._holder = MemberName(running.incarnation)
+        self._held_by_key: dict[PieceId, HeldItem] = {}
+        self._results_by_group: dict[GroupId, list[ItemResult]] = {
+            group: [] for group in shards.by_group
+        }
+        self._waiting_by_group: dict[GroupId, int] = dict.fromkeys(shards.by_group, 0)
+
+    async def run(self) -> None:
+        """Pulls and hands in until it is cancelled."""
+        flushes = (self._flush_forever(group) for group in self._shards.by_group)
+        await asyncio.gather(self._pull_forever(), *flushes)
+
+    def held_jobs(self) -> list[JobId]:
+        """Returns the jobs of which this agent holds items."""
+        return sorted({held.leased.job for held in self._held_by_key.values()})
+
+    def on_renewed(self, group: GroupId, answer: SessionRenewed) -> None:
+        """Drops the items of jobs that were stopped, which cancels them at the engine."""
+        self._waiting_by_group[group] = answer.waiting
+        stopped = set(answer.stopped)
+        for held in list(self._held_by_key.values()):
+            if held.leased.job in stopped:
+                self._drop(held)
+
+    async def hand_back(self) -> None:
+        """Gives all items back unfinished, before a planned stop."""
+        for held in list(self._held_by_key.values()):
+            self._drop(held)
+            result = self._result(held, 0, b"")
+            self._add(held, msgspec.structs.replace(result, returned=True))
+        await asyncio.gather(
+            *(self._flush(group) for group in self._shards.by_group), return_exceptions=True
+        )
+
+    def _drop(self, held: HeldItem) -> None:
+        self._held_by_key.pop(held.key, None)
+        if held.task is not None:
+            held.task.cancel()
+
+    async def _pull_forever(self) -> None:
+        while True:
+            await asyncio.sleep(PULL_SECONDS)
+            for group in self._shards.by_group:
+                backend = self._backend()
+                room = admission.batch_room(self._slots.state)
+                if backend is None or not backend.models or not self._is_serving() or not room:
+                    continue
+                if self._waiting_by_group[group]:
+                    await self._pull(group, backend, room)
+
+    async def _pull(self, group: GroupId, backend: Backend, room: int) -> None:
+        command = LeaseItems(misc.random_id("lease"), self._holder, backend.models, room)
+        try:
+            answer = await self._shards.by_group[group].propose(command, LEDGER_SECONDS)
+        except UnavailableError as error:
+            logs.warning(Event.REQUEST_FAILED, step="lease", error=error.message)
+            return
+        if not isinstance(answer, LeasedItems):
+            return
+        if len(answer.items) < room:
+            self._waiting_by_group[group] = 0
+        for leased in answer.items:
+            held = HeldItem(group, leased)
+            self._held_by_key[held.key] = held
+            held.task = misc.spawn(self._run_item(held), self._process.tasks)
+
+    async def _run_item(self, held: HeldItem) -> None:
+        """Runs one item to its end, over as many turns as online work leaves it."""
+        started = self._process.clock()
+        try:
+            result = await self._run_turns(held, started)
+        except BackendRefusedError as error:
+            result = self._result(held, error.status, error.body)
+        except VerbenaError as error:
+            logs.info(Event.ITEM_FAILED, item=held.key, error=error.message)
+            failure = self._result(held, 0, msgspec.json.encode({"error": error.message}))
+            result = msgspec.structs.replace(failure, retry=True)
+        if self._held_by_key.pop(held.key, None) is not None:
+            self._add(held, result)
+        name = f"item.{held.leased.workspace}.{WorkClass.BATCH.value}"
+        self._process.metrics.time(name, self._process.clock() - started)
+
+    async def _run_turns(self, held: HeldItem, started: float) -> ItemResult:
+        while True:
+            turn = asyncio.ensure_future(self._run_turn(held, started))
+            try:
+                return await turn
+            except asyncio.CancelledError:
+                if not turn.cancelled() or not held.yielded:
+                    turn.cancel()
+                    raise
+                held.yielded = False
+                self._process.metrics.count("batch.yielded")
+
+    async def _run_turn(self, held: HeldItem, started: float) -> ItemResult:
+        backend = self._backend()
+        if backend is None:
+            raise BackendError("the backend server is not configured", step="run")
+        leased = held.leased
+        piece = Piece(
+            held.key,
+            leased.workspace,
+            WorkClass.BATCH,
+            max(1, leased.size - held.tokens),
+            started,
+            started + leased.due_in,
+        )
+        turn = asyncio.current_task()
+        assert turn is not None
+
+        def on_yield() -> None:
+            held.yielded = True
+            turn.cancel()
+
+        answer = Completion(
+            misc.random_id("item"), leased.model, int(time.time()), held.text, held.tokens
+        )
+        async with self._slots.taken(piece, on_yield):
+            call = engine.EngineCall(leased.endpoint, leased.body, held.text, held.tokens)
+            async for part in engine.generate(backend.address, call, PROGRESS_SECONDS):
+                self._slots.note_tokens(piece.id, part.tokens)
+                held.text += part.text
+                held.tokens += part.tokens
+                answer.finish = part.finish
+                answer.prompt_tokens = part.prompt_tokens or answer.prompt_tokens
+        answer.text, answer.tokens = held.text, held.tokens
+        document = msgspec.json.encode(completions.whole(leased.endpoint, answer))
+        return self._result(held, 200, document)
+
+    def _result(self, held: HeldItem, status: int, body: bytes) -> ItemResult:
+        leased = held.leased
+        return ItemResult(leased.job, leased.position, leased.attempt, status, body)
+
+    def _add(self, held: HeldItem, result: ItemResult) -> None:
+        self._results_by_group[held.group].append(result)
+
+    async def _flush_forever(self, group: GroupId) -> None:
+        while True:
+            await asyncio.sleep(FLUSH_SECONDS)
+            if self._results_by_group[group]:
+                await self._flush(group)
+
+    async def _flush(self, group: GroupId) -> None:
+        """Hands in what has ended; what can't be handed in now is kept for the next time."""
+        results = self._results_by_group[group]
+        self._results_by_group[group] = []
+        if not results:
+            return
+        command = CompleteItems(self._holder, results)
+        try:
+            await self._shards.by_group[group].propose(command, LEDGER_SECONDS)
+        except UnavailableError:
+            self._results_by_group[group] = results + self._results_by_group[group]
--- /dev/null
+++ b/verbenashore/client.py
@@ -0,0 +1,116 @@
+"""Calls to the leader of a replicated group, wherever it is."""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import Callable
+
+import zmq.asyncio
+
+from verbenashore.exceptions import (
+    LinkSilentError,
+    NotLeaderError,
+    UnavailableError,
+    VerbenaError,
+)
+from verbenashore.link import Link
+from verbenashore.machine import Command, Result
+from verbenashore.messages import Body, Committed, Propose, Sender
+from verbenashore.types import Clock, GroupId
+
+ATTEMPT_SECONDS = 1.0
+RETRY_SECONDS = 0.03
+
+
+class Links:
+    """The links of this process, by address; a link is made when it is first used."""
+
+    def __init__(
+        self, context: zmq.asyncio.Context, sender: Callable[[], Sender], clock: Clock
+    ) -> None:
+        self._context = context
+        self._sender = sender
+        self._clock = clock
+        self._by_address: dict[str, Link] = {}
+
+    def to(self, address: str) -> Link:
+        """Returns the link to an address."""
+        if address not in self._by_address:
+            self._by_address[address] = Link(self._context, address, self._sender, self._clock)
+        return self._by_address[address]
+
+    async def keep_only(self, addresses: set[str]) -> None:
+        """Closes the links to all other addresses."""
+        for address in set(self._by_address) - addresses:
+            await self._by_address.pop(address).close()
+
+    async def close(self) -> None:
+        """Closes all links."""
+        await self.keep_only(set())
+
+
+class GroupClient:
+    """A way to whichever replica leads a group.
+
+    :param addresses: the ledger processes that may run a replica.
+    """
+
+    def __init__(self, group: GroupId, links: Links, addresses: list[str], clock: Clock) -> None:
+        self.group = group
+        self._links = links
+        self._clock = clock
+        self._addresses = addresses
+        self._rotation = itertools.cycle(addresses)
+        self._leader = next(self._rotation)
+
+    async def propose(self, command: Command, seconds: float) -> Result:
+        """Commits a command; it may be sent more than once, so commands must bear that.
+
+        :raises UnavailableError: if no leader answered in time; it may be committed or not.
+        """
+        answer = await self.ask(Propose(self.group, command), seconds)
+        if not isinstance(answer, Committed):
+            raise VerbenaError("unexpected answer", step="propose", peer=self._leader)
+        return answer.result
+
+    async def ask(self, body: Body, seconds: float) -> Body:
+        """Asks the leader, and looks for it while there is time.
+
+        :raises UnavailableError: if no leader answered in time.
+        """
+        deadline = self._clock() + seconds
+        last: VerbenaError = UnavailableError("no leader", step="ask")
+        while (left := deadline - self._clock()) > 0:
+            address = self._leader
+            try:
+                return await self._links.to(address).call(body, min(ATTEMPT_SECONDS, left))
+            except NotLeaderError as error:
+                last = error
+                self._turn_from(address, error.peer)
+                if error.peer in self._addresses and error.peer != address:
+                    continue
+            except LinkSilentError as error:
+                last = error
+                self._turn_from(address, "")
+            except UnavailableError as error:
+                last = error
+            await asyncio.sleep(RETRY_SECONDS)
+        raise UnavailableError(
+            f"group {self.group} has no reachable leader: {last.message}",
+            step="ask",
+            peer=last.peer,
+        )
+
+    def _turn_from(self, address: str, hint: str) -> None:
+        """Looks elsewhere, unless another call has already done so."""
+        if self._leader != address:
+            return
+        if hint in self._addresses and hint != address:
+            self._leader = hint
+            return
+        candidates = list(itertools.islice(self._rotation, len(self._addresses)))
+        others = [other for other in candidates if other != address]
+        alive = [other for other in others if not self._links.to(other).is_silent]
+        self._leader = (alive or others or [address])[0]
+        with contextlib.suppress(StopIteration):
+            next(self._rotation)
--- /dev/null
+++ b/verbenashore/completions.py
@@ -0,0 +1,204 @@
+"""The JSON forms of chat and text completions, as OpenAI clients speak them."""
+
+from typing import Any
+
+import msgspec
+
+from verbenashore.exceptions import BadRequestError
+
+CHAT_PATH = "/v1/chat/completions"
+TEXT_PATH = "/v1/completions"
+PATHS = frozenset({CHAT_PATH, TEXT_PATH})
+DEFAULT_MAX_TOKENS = 256
+CHARACTERS_PER_TOKEN = 4
+UNSUPPORTED = frozenset(
+    {"tools", "functions", "tool_choice", "logprobs", "top_logprobs", "best_of", "audio"}
+)
+
+
+class ModelCall(msgspec.Struct, frozen=True):
+    """A caller's completion request, checked.
+
+    :param prompt: the prompt as one text, for its estimated size and its prefix.
+    :param body: the JSON document as it came.
+    """
+
+    path: str
+    model: str
+    prompt: str
+    max_tokens: int
+    stream: bool
+    include_usage: bool
+    body: bytes
+
+    @property
+    def prompt_tokens(self) -> int:
+        """The estimated size of the prompt."""
+        return len(self.prompt) // CHARACTERS_PER_TOKEN + 1
+
+
+class Completion(msgspec.Struct):
+    """An answer, as far as it has come."""
+
+    id: str
+    model: str
+    created: int
+    text: str = ""
+    tokens: int = 0
+    finish: str = ""
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+
+
+def parse_call(path: str, body: bytes) -> ModelCall:
+    """Reads and checks a request.
+
+    :raises BadRequestError: naming the field at fault.
+    """
+    document = decode_object(body)
+    model = document.get("model")
+    if not isinstance(model, str) or not model:
+        raise _bad("model", "must be a model's name")
+    prompt = _chat_prompt(document) if path == CHAT_PATH else _text_prompt(document)
+    _check_options(document)
+    options = document.get("stream_options") or {}
+    return ModelCall(
+        path,
+        model,
+        prompt,
+        _max_tokens(document),
+        bool(document.get("stream", False)),
+        isinstance(options, dict) and bool(options.get("include_usage", False)),
+        body,
+    )
+
+
+def decode_object(body: bytes) -> dict[str, Any]:
+    """Reads a JSON object.
+
+    :raises BadRequestError: if it is none.
+    """
+    try:
+        return msgspec.json.decode(body, type=dict[str, Any])
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise BadRequestError(
+            f"malformed JSON: {error}", step="parse", field="body", not_run=True
+        ) from None
+
+
+def whole(path: str, answer: Completion) -> dict[str, Any]:
+    """Returns a whole answer."""
+    choice: dict[str, Any] = {"index": 0, "finish_reason": answer.finish or None}
+    if path == CHAT_PATH:
+        choice["message"] = {"role": "assistant", "content": answer.text}
+    else:
+        choice["text"] = answer.text
+    return {
+        "id": answer.id,
+        "object": "chat.completion" if path == CHAT_PATH else "text_completion",
+        "created": answer.created,
+        "model": answer.model,
+        "choices": [choice],
+        "usage": usage(answer),
+    }
+
+
+def usage(answer: Completion) -> dict[str, Any]:
+    """Returns the token counts of an answer."""
+    return {
+        "prompt_tokens": answer.prompt_tokens,
+        "completion_tokens": answer.tokens,
+        "total_tokens": answer.prompt_tokens + answer.tokens,
+        "prompt_tokens_details": {"cached_tokens": answer.cached_tokens},
+    }
+
+
+def event(path: str, answer: Completion, text: str, finish: str | None, *, first: bool) -> bytes:
+    """Returns one event of a streamed answer."""
+    choice: dict[str, Any] = {"index": 0, "finish_reason": finish}
+    if path == CHAT_PATH:
+        choice["delta"] = {"role": "assistant", "content": text} if first else {"content": text}
+    else:
+        choice["text"] = text
+    return _event(_chunk(path, answer, [choice]))
+
+
+def usage_event(path: str, answer: Completion) -> bytes:
+    """Returns the event that carries the token counts."""
+    return _event(_chunk(path, answer, []) | {"usage": usage(answer)})
+
+
+def replayed(path: str, body: bytes, include_usage: bool) -> bytes:
+    """Returns a committed whole answer as the events of a stream."""
+    document = decode_object(body)
+    choice = document["choices"][0]
+    text = choice["message"]["content"] if path == CHAT_PATH else choice["text"]
+    answer = Completion(document["id"], document["model"], document["created"], text)
+    answer.prompt_tokens = document["usage"]["prompt_tokens"]
+    answer.tokens = document["usage"]["completion_tokens"]
+    events = [event(path, answer, text, None, first=True)]
+    events.append(event(path, answer, "", choice["finish_reason"], first=False))
+    if include_usage:
+        events.append(usage_event(path, answer))
+    return b"".join([*events, LAST_EVENT])
+
+
+LAST_EVENT = b"data: [DONE]\n\n"
+
+
+def _event(document: dict[str, Any]) -> bytes:
+    return b"data: " + msgspec.json.encode(document) + b"\n\n"
+
+
+def _chunk(path: str, answer: Completion, choices: list[dict[str, Any]]) -> dict[str, Any]:
+    return {
+        "id": answer.id,
+        "object": "chat.completion.chunk" if path == CHAT_PATH else "text_completion",
+        "created": answer.created,
+        "model": answer.model,
+        "choices": choices,
+    }
+
+
+def _chat_prompt(document: dict[str, Any]) -> str:
+    messages = document.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise _bad("messages", "must be a list with at least one message")
+    parts = []
+    for position, message in enumerate(messages):
+        if not isinstance(message, dict) or not isinstance(message.get("role"), str):
+            raise _bad(f"messages[{position}].role", "must be text")
+        content = message.get("content")
+        if not isinstance(content, str):
+            raise _bad(f"messages[{position}].content", "must be text")
+        parts.append(f"{message['role']}: {content}")
+    return "\n".join(parts)
+
+
+def _text_prompt(document: dict[str, Any]) -> str:
+    prompt = document.get("prompt")
+    if not isinstance(prompt, str) or not prompt:
+        raise _bad("prompt", "must be text")
+    return prompt
+
+
+def _max_tokens(document: dict[str, Any]) -> int:
+    name = "max_completion_tokens" if "max_completion_tokens" in document else "max_tokens"
+    value = document.get(name)
+    if value is None:
+        return DEFAULT_MAX_TOKENS
+    if not isinstance(value, int) or isinstance(value, bool) or value < 1:
+        raise _bad(name, "must be a whole number of at least 1")
+    return value
+
+
+def _check_options(document: dict[str, Any]) -> None:
+    if document.get("n") not in (None, 1):
+        raise _bad("n", "only 1 is supported")
+    for name in sorted(UNSUPPORTED & set(document)):
+        if document[name] not in (None, False, [], "none"):
+            raise _bad(name, "is not supported")
+
+
+def _bad(field: str, problem: str) -> BadRequestError:
+    return BadRequestError(f"{field} {problem}", step="parse", field=field, not_run=True)
--- /dev/null
+++ b/verbenashore/entry.py
@@ -0,0 +1,143 @@
+"""``verbena-entry``: answers callers and operators, and places online work."""
+
+import argparse
+import asyncio
+import sys
+from collections.abc import Sequence
+
+from verbenashore import httpserver, logs, placement, process, settings
+from verbenashore.admin import AdminInterface
+from verbenashore.batches import BatchInterface
+from verbenashore.callers import CallerDirectory
+from verbenashore.exceptions import NotFoundError
+from verbenashore.httpserver import Request, Responder
+from verbenashore.limits import Limits
+from verbenashore.logs import Event
+from verbenashore.online import OnlineInterface
+from verbenashore.placement import Placement, Target
+from verbenashore.process import Process
+from verbenashore.settings import Setting
+from verbenashore.shards import Shards, keep_session
+from verbenashore.streams import StreamRunner
+from verbenashore.types import BackendName, MemberName, MemberRole, MemberState
+from verbenashore.view import SystemView
+
+PROGRAM = "verbena-entry"
+
+SETTINGS = (
+    *settings.COMMON,
+    Setting("listen", settings.parse_address, "address for callers and operators, IP:PORT"),
+    Setting("ledgers", settings.parse_addresses, "addresses of the ledger processes"),
+    Setting("shards", settings.parse_count, "how many shards the work ledger has", "1"),
+    Setting("operator-key", str, "SHA-256 of the operators' key, as sha256:HEX"),
+    Setting(
+        "lame-duck",
+        settings.parse_seconds,
+        "seconds for which callers are still taken after readiness has gone, at a stop",
+        "1",
+    ),
+    Setting(
+        "policy",
+        settings.parse_choice("classes", "baseline"),
+        "baseline places one after the other; for comparison only",
+        "classes",
+    ),
+)
+
+
+class EntryProcess:
+    """The interfaces of one entry and what they share."""
+
+    def __init__(self, running: Process) -> None:
+        self._process = running
+        self._settings = running.settings
+        self._shards = Shards(
+            running.links, self._settings.ledgers, self._settings.shards, running.clock
+        )
+        self._view = SystemView(
+            running,
+            self._shards.control,
+            MemberRole.ENTRY,
+            str(self._settings.listen),
+            BackendName(""),
+        )
+        self._view.on_change.append(self._on_change)
+        self._placement = Placement(self._settings.policy == "baseline")
+        self._limits = Limits()
+        self._callers = CallerDirectory(self._view)
+        streams = StreamRunner(running.links, self._placement, running.clock)
+        streams.count = running.metrics.count
+        self._online = OnlineInterface(
+            running, self._view, self._shards, self._callers, self._limits, streams, self._placement
+        )
+        self._batches = BatchInterface(running, self._view, self._shards, self._callers)
+        self._admin = AdminInterface(running, self._shards)
+
+    async def run(self) -> None:
+        """Serves until told to stop, then finishes what was begun."""
+        closing = asyncio.Event()
+        serving = asyncio.create_task(
+            httpserver.serve(str(self._settings.listen), self.handle, closing)
+        )
+        self._process.start(serving)
+        self._process.start(self._view.run())
+        holder = MemberName(self._process.incarnation)
+        for client in self._shards.by_group.values():
+            self._process.start(keep_session(client, holder, lambda: [], lambda _: None))
+        await self._process.wait_for_stop()
+        logs.info(Event.STOPPING)
+        self._process.ready = False
+        self._view.set_state(MemberState.DRAINING)
+        await asyncio.sleep(self._settings.lame_duck)
+        closing.set()
+        await serving
+        await self._shards.release(holder)
+
+    async def handle(self, request: Request, respond: Responder) -> None:
+        """Routes one request."""
+        if await process.answer_health(self._process, request, respond):
+            return
+        for interface in (self._online, self._batches, self._admin):
+            if await interface.handle(request, respond):
+                return
+        raise NotFoundError(
+            f"there is no {request.method} {request.path}",
+            step="route",
+            field="path",
+            not_run=True,
+        )
+
+    def _on_change(self) -> None:
+        """Takes over a new configuration or member list."""
+        deployed = self._view.deployment
+        backend_by_name = {backend.name: backend for backend in deployed.backend}
+        region = self._settings.region
+        targets: list[Target] = []
+        for member in self._view.members.values():
+            backend = backend_by_name.get(member.backend)
+            if backend is None or member.state is not MemberState.SERVING:
+                continue
+            targets.append(
+                placement.to_target(member, backend.slots, backend.models, backend.service, region)
+            )
+        placement.update(self._placement, targets)
+        entries = [m for m in self._view.members.values() if m.role is MemberRole.ENTRY]
+        self._limits.entries = max(1, len(entries))
+        self._callers.update(deployed)
+        self._process.ready = self._view.state is MemberState.SERVING and bool(deployed.workspace)
+
+
+async def _program(running: Process) -> None:
+    await EntryProcess(running).run()
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Runs the program; returns its exit code."""
+    values: argparse.Namespace = settings.read_or_exit(
+        PROGRAM, "Answers callers and operators, and places online work.", SETTINGS, arguments
+    )
+    return process.run(values, _program)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/verbenashore/ledger.py
@@ -0,0 +1,421 @@
+"""``verbena-ledger``: runs one replica of one or more groups on an instance with a disk."""
+
+import argparse
+import asyncio
+import contextlib
+import sys
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+from verbenashore import consensus, jobs, logs, machine, members, process, requests, settings
+from verbenashore.consensus import Packet, Peer, Role
+from verbenashore.exceptions import NotFoundError, NotLeaderError, VerbenaError
+from verbenashore.jobs import ItemViews
+from verbenashore.link import Reply, Server
+from verbenashore.logs import Event
+from verbenashore.messages import (
+    AskIdentity,
+    AskStatus,
+    Body,
+    Committed,
+    Envelope,
+    FilePart,
+    Files,
+    GroupStatus,
+    Heartbeat,
+    History,
+    Identity,
+    Jobs,
+    JoinGroup,
+    LedgerStatus,
+    ListFiles,
+    ListJobs,
+    ListMembers,
+    Members,
+    Propose,
+    ReadFile,
+    ReadHistory,
+    ReadItems,
+    ReadJob,
+    ReadPart,
+    ReadRequest,
+    RenewSession,
+    ReplicaPacket,
+    SessionRenewed,
+)
+from verbenashore.process import Process
+from verbenashore.replica import JoinWish, ReplicaRunner
+from verbenashore.settings import Address, Setting
+from verbenashore.types import CONTROL_GROUP, GroupId, JobState, MemberName, ReplicaId
+
+PROGRAM = "verbena-ledger"
+SESSION_SECONDS = 4.0
+SWEEP_SECONDS = 0.25
+FORM_SECONDS = 0.25
+ASK_SECONDS = 0.5
+HAND_OVER_SECONDS = 2.0
+
+
+def parse_peers(text: str) -> dict[MemberName, Address]:
+    """Reads ``NAME=IP:PORT`` pairs separated by commas."""
+    pairs = [part.partition("=") for part in text.split(",") if part]
+    return {
+        MemberName(settings.parse_name(name)): settings.parse_address(address)
+        for name, _, address in pairs
+    }
+
+
+def parse_groups(text: str) -> tuple[GroupId, ...]:
+    """Reads group numbers separated by commas."""
+    groups = tuple(GroupId(int(part)) for part in text.split(",") if part)
+    if not groups or min(groups) < 0:
+        raise ValueError(f"{text!r} is not a list of group numbers")
+    return groups
+
+
+SETTINGS = (
+    *settings.COMMON,
+    Setting("listen", settings.parse_address, "address for the system's processes, IP:PORT"),
+    Setting("health", settings.parse_addresses, "address of the health page; none if empty", ""),
+    Setting("data", Path, "data folder; it belongs to this process alone"),
+    Setting("groups", parse_groups, "groups to run a replica of; 0 is control", "0,1"),
+    Setting("initial", parse_peers, "the replicas that form new groups, NAME=IP:PORT,..."),
+    Setting("replicas", settings.parse_count, "voters that a group should have", "3"),
+    Setting(
+        "replace-after",
+        settings.parse_seconds,
+        "seconds of silence after which a replica is replaced by a spare",
+        "10",
+    ),
+    Setting("trace", str, "file to which committed commands are written; none if empty", ""),
+)
+
+
+class Sessions:
+    """Which processes a leader has heard of lately.
+
+    A new leader gives everybody a full session from its election.
+    """
+
+    def __init__(self) -> None:
+        self.term = -1
+        self.since = 0.0
+        self.heard_by_holder: dict[MemberName, float] = {}
+
+    def renew(self, holder: MemberName, now: float) -> None:
+        """Notes that a process lives."""
+        self.heard_by_holder[holder] = now
+
+    def ended(self, holders: set[MemberName], now: float) -> list[MemberName]:
+        """Returns the holders whose session is over."""
+        return sorted(
+            holder
+            for holder in holders
+            if now - max(self.heard_by_holder.get(holder, 0.0), self.since) > SESSION_SECONDS
+        )
+
+    def start_term(self, term: int, now: float) -> None:
+        """Starts anew for a term."""
+        self.term = term
+        self.since = now
+        self.heard_by_holder.clear()
+
+
+class LedgerProcess:
+    """The replicas of one process and the calls to them."""
+
+    def __init__(self, running: Process) -> None:
+        self._process = running
+        self._settings = running.settings
+        self._clock = running.clock
+        self._members = members.MemberTable()
+        self._members_term = -1
+        self._address_by_replica: dict[ReplicaId, str] = {}
+        own = (running.name, str(self._settings.listen))
+        timing = consensus.Timing(replace_after=self._settings.replace_after)
+        self._runner_by_group = {
+            group: ReplicaRunner(
+                group,
+                own,
+                self._settings.data / f"group-{group}",
+                timing,
+                running.clock,
+                self._sender_for(group),
+                self._settings.replicas,
+                self._settings.trace,
+            )
+            for group in self._settings.groups
+        }
+        self._sessions_by_group = {group: Sessions() for group in self._settings.groups}
+
+    async def run(self) -> None:
+        """Serves until told to stop, then hands leaderships over."""
+        server = Server(
+            self._process.context,
+            str(self._settings.listen),
+            self._process.sender,
+            self._clock,
+            self.handle,
+            self.on_packet,
+        )
+        self._process.start(server.run())
+        for address in self._settings.health:
+            self._process.start(process.serve_health(self._process, str(address)))
+        for group, runner in self._runner_by_group.items():
+            self._process.start(runner.run())
+            self._process.start(self._form(runner))
+            self._process.start(self._sweep(group, runner))
+        self._process.ready = True
+        logs.info(Event.READY, listen=self._settings.listen)
+        await self._process.wait_for_stop()
+        logs.info(Event.STOPPING)
+        await self._hand_over()
+
+    def on_packet(self, message: ReplicaPacket) -> None:
+        """Takes a consensus message."""
+        runner = self._runner_by_group.get(message.group)
+        if runner is not None:
+            runner.take(message.packet)
+
+    async def handle(self, envelope: Envelope, reply: Reply) -> None:
+        """Answers one call."""
+        reply(await self._answer(envelope.body), True)
+
+    async def _answer(self, body: Body) -> Body:
+        if isinstance(body, AskStatus):
+            return self._status()
+        if isinstance(body, Heartbeat):
+            return self._on_heartbeat(body)
+        if isinstance(body, ListMembers):
+            self._serving(CONTROL_GROUP)
+            return Members(list(self._members.by_name.values()))
+        if isinstance(body, ReadHistory):
+            runner = self._serving(CONTROL_GROUP)
+            return History(runner.state.control.history)
+        group = GroupId(getattr(body, "group", -1))
+        if group not in self._runner_by_group:
+            raise NotFoundError(f"no replica of group {group} here", step="route", not_run=True)
+        if isinstance(body, AskIdentity):
+            return self._identity(group)
+        if isinstance(body, JoinGroup):
+            return self._on_join(body)
+        if isinstance(body, Propose):
+            return await self._on_propose(body)
+        if isinstance(body, RenewSession):
+            return self._on_renew(body)
+        return self._read(self._serving(group).state, body)
+
+    def _serving(self, group: GroupId) -> ReplicaRunner:
+        runner = self._runner_by_group.get(group)
+        if runner is None:
+            raise NotLeaderError(f"no replica of group {group} here", step="route")
+        runner.check_serving()
+        return runner
+
+    async def _on_propose(self, body: Propose) -> Committed:
+        runner = self._serving(body.group)
+        holder = getattr(body.command, "holder", None)
+        if holder and not isinstance(body.command, machine.ExpireHolder):
+            self._sessions(body.group).renew(holder, self._clock())
+        return Committed(await runner.propose(body.command))
+
+    def _on_renew(self, body: RenewSession) -> SessionRenewed:
+        runner = self._serving(body.group)
+        self._sessions(body.group).renew(body.holder, self._clock())
+        book = runner.state.jobs
+        return SessionRenewed(jobs.stopped_jobs(book, body.jobs), jobs.waiting_count(book))
+
+    def _sessions(self, group: GroupId) -> Sessions:
+        sessions = self._sessions_by_group[group]
+        term = self._runner_by_group[group].core.hard.term
+        if sessions.term != term:
+            sessions.start_term(term, self._clock())
+        return sessions
+
+    def _on_heartbeat(self, body: Heartbeat) -> Body:
+        runner = self._serving(CONTROL_GROUP)
+        now = self._clock()
+        if self._members_term != runner.core.hard.term:
+            self._members_term = runner.core.hard.term
+            self._members = members.new_table(self._members_term, now)
+        self._sessions(CONTROL_GROUP).renew(MemberName(body.member.incarnation), now)
+        change = machine.control.current(runner.state.control)
+        return members.heard(self._members, body, change, now)
+
+    def _on_join(self, body: JoinGroup) -> Body:
+        runner = self._serving(body.group)
+        runner.take(JoinWish(body.peer))
+        return jobs.Done()
+
+    def _read(self, state: machine.GroupState, body: Body) -> Body:
+        if isinstance(body, ReadRequest):
+            record = state.requests.by_id.get(body.record)
+            if record is None or record.workspace != body.workspace:
+                raise NotFoundError("no such request", step="read", field="id")
+            return requests.view(record)
+        if isinstance(body, ReadJob | ReadItems):
+            job = state.jobs.job_by_id.get(body.job)
+            if job is None or job.announced.workspace != body.workspace:
+                raise NotFoundError("no such batch", step="read", field="id")
+            return self._read_job(job, body)
+        if isinstance(body, ListJobs):
+            return Jobs(_jobs_of(state, body.workspace))
+        if isinstance(body, ReadFile | ReadPart):
+            record_of_file = state.jobs.file_by_id.get(body.file)
+            if (
+                record_of_file is None
+                or not record_of_file.sealed
+                or record_of_file.announced.workspace != body.workspace
+            ):
+                raise NotFoundError("no such file", step="read", field="id")
+            if isinstance(body, ReadFile):
+                return jobs.file_view(record_of_file)
+            return FilePart(record_of_file.data_by_part.get(body.part, b""))
+        if isinstance(body, ListFiles):
+            return Files(_files_of(state, body.workspace))
+        raise VerbenaError(f"unexpected call {type(body).__name__}", step="read")
+
+    def _read_job(self, job: jobs.Job, body: ReadJob | ReadItems) -> Body:
+        if isinstance(body, ReadJob):
+            return jobs.job_view(job)
+        views: ItemViews = jobs.item_views(job, body.first, body.count)
+        return views
+
+    def _identity(self, group: GroupId) -> Identity:
+        runner = self._runner_by_group[group]
+        return Identity(group, runner.peer, runner.formed, runner.leader_address)
+
+    def _status(self) -> LedgerStatus:
+        return LedgerStatus(
+            self._process.name,
+            [_group_status(group, runner) for group, runner in self._runner_by_group.items()],
+        )
+
+    def _sender_for(self, group: GroupId) -> Callable[[Peer, Packet], None]:
+        def send(peer: Peer, packet: Packet) -> None:
+            # A candidate may stand in no membership that is known here.
+            address = peer.address or self._address_by_replica.get(packet.to, "")
+            if address:
+                self._process.links.to(address).post(ReplicaPacket(group, packet))
+
+        return send
+
+    async def _form(self, runner: ReplicaRunner) -> None:
+        """Forms the group, or asks to be taken in, until this replica is a member."""
+        while True:
+            known = consensus.membership(runner.core)
+            if runner.peer not in (*known.voters, *known.learners):
+                await self._ask_in(runner)
+            await asyncio.sleep(FORM_SECONDS)
+
+    async def _ask_in(self, runner: ReplicaRunner) -> None:
+        addresses = {str(address) for address in self._settings.initial.values()}
+        known = consensus.membership(runner.core)
+        addresses |= {peer.address for peer in (*known.voters, *known.learners)}
+        addresses.discard(str(self._settings.listen))
+        identities = await asyncio.gather(
+            *(self._ask_identity(runner.group, address) for address in sorted(addresses))
+        )
+        found = [identity for identity in identities if identity is not None]
+        for identity in found:
+            self._address_by_replica[identity.peer.id] = identity.peer.address
+        formed = [identity for identity in found if identity.formed]
+        if formed:
+            leaders = {identity.leader for identity in formed if identity.leader}
+            await asyncio.gather(*(self._join(runner, leader) for leader in sorted(leaders)))
+        elif not runner.formed:
+            self._bootstrap_if_first(runner, found)
+
+    def _bootstrap_if_first(self, runner: ReplicaRunner, found: list[Identity]) -> None:
+        """Forms the group if all its initial replicas are new and this one comes first."""
+        initial = self._settings.initial
+        peers = {identity.peer.name: identity.peer for identity in found}
+        peers[self._process.name] = runner.peer
+        if set(initial) <= set(peers) and self._process.name == min(initial):
+            runner.bootstrap(tuple(peers[name] for name in sorted(initial)))
+
+    async def _ask_identity(self, group: GroupId, address: str) -> Identity | None:
+        with contextlib.suppress(VerbenaError):
+            answer = await self._process.links.to(address).call(AskIdentity(group), ASK_SECONDS)
+            if isinstance(answer, Identity):
+                return answer
+        return None
+
+    async def _join(self, runner: ReplicaRunner, leader: str) -> None:
+        with contextlib.suppress(VerbenaError):
+            wish = JoinGroup(runner.group, runner.peer)
+            await self._process.links.to(leader).call(wish, ASK_SECONDS)
+
+    async def _sweep(self, group: GroupId, runner: ReplicaRunner) -> None:
+        """Ends what is due while this replica leads."""
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            if not runner.serving:
+                continue
+            now = self._clock()
+            sessions = self._sessions(group)
+            with contextlib.suppress(VerbenaError):
+                for holder in sessions.ended(machine.all_holders(runner.state), now):
+                    logs.info(Event.MEMBER_LOST, group=group, holder=holder)
+                    await runner.propose(machine.ExpireHolder(holder))
+                if machine.time_is_due(runner.state, runner.ledger_time):
+                    await runner.propose(machine.Advance())
+            if group == CONTROL_GROUP:
+                for member in members.drop_lost(self._members, now):
+                    logs.info(Event.MEMBER_LOST, group=group, member=member.name)
+
+    async def _hand_over(self) -> None:
+        """Gives leaderships away and waits until another replica has them."""
+        led = [r for r in self._runner_by_group.values() if r.core.role is Role.LEADER]
+        for runner in led:
+            runner.hand_over()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(HAND_OVER_SECONDS):
+                await asyncio.gather(*(runner.leader_known.wait() for runner in led))
+
+
+def _group_status(group: GroupId, runner: ReplicaRunner) -> GroupStatus:
+    known = consensus.membership(runner.core)
+    return GroupStatus(
+        group,
+        runner.peer.id,
+        "leader" if runner.serving else runner.core.role.value,
+        runner.core.hard.term,
+        runner.core.commit,
+        consensus.last_index(runner.core),
+        [peer.name for peer in known.voters],
+        [peer.name for peer in known.learners],
+        runner.state.requests.late + runner.state.jobs.late,
+    )
+
+
+def _jobs_of(state: machine.GroupState, workspace: str) -> list[jobs.JobView]:
+    return [
+        jobs.job_view(job)
+        for job in state.jobs.job_by_id.values()
+        if job.announced.workspace == workspace and job.state is not JobState.LOADING
+    ]
+
+
+def _files_of(state: machine.GroupState, workspace: str) -> list[jobs.FileView]:
+    return [
+        jobs.file_view(record)
+        for record in state.jobs.file_by_id.values()
+        if record.sealed and record.announced.workspace == workspace
+    ]
+
+
+async def _program(running: Process) -> None:
+    await LedgerProcess(running).run()
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Runs the program; returns its exit code."""
+    values: argparse.Namespace = settings.read_or_exit(
+        PROGRAM, "Runs one replica of one or more groups.", SETTINGS, arguments
+    )
+    return process.run(values, _program)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/verbenashore/messages.py
@@ -0,0 +1,418 @@
+"""Every message between the system's own processes."""
+
+import msgspec
+
+from verbenashore import consensus, control, jobs, machine, requests
+from verbenashore.types import (
+    BackendName,
+    FileId,
+    GroupId,
+    JobId,
+    MemberName,
+    MemberRole,
+    MemberState,
+    RecordId,
+    ReplicaId,
+    Revision,
+    WorkspaceId,
+)
+
+
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag="ping"):
+    """Asks whether the peer lives."""
+
+
+class Pong(msgspec.Struct, frozen=True, array_like=True, tag="pong"):
+    """Says that the peer lives.
+
+    :param epoch: differs for every start of the peer and every connection to it.
+    """
+
+    epoch: str
+
+
+class CancelCall(msgspec.Struct, frozen=True, array_like=True, tag="cancel"):
+    """Tells the peer that nobody waits for a call any more."""
+
+
+class Failure(msgspec.Struct, frozen=True, array_like=True, tag="failure"):
+    """A typed error as an answer.
+
+    :param code: the code of one of :mod:`verbenashore.exceptions`.
+    :param hint: for ``not_leader`` the leader's address, if known.
+    """
+
+    code: str
+    message: str
+    step: str
+    not_run: bool
+    retry_after: float = 0.0
+    hint: str = ""
+
+
+class ReplicaPacket(msgspec.Struct, frozen=True, array_like=True, tag="packet"):
+    """A consensus message of one group."""
+
+    group: GroupId
+    packet: consensus.Packet
+
+
+class AskIdentity(msgspec.Struct, frozen=True, array_like=True, tag="ask_identity"):
+    """Asks a ledger process which replica it runs for a group."""
+
+    group: GroupId
+
+
+class Identity(msgspec.Struct, frozen=True, array_like=True, tag="identity"):
+    """Answers :class:`AskIdentity`.
+
+    :param formed: true if the replica knows a membership.
+    """
+
+    group: GroupId
+    peer: consensus.Peer
+    formed: bool
+    leader: str
+
+
+class JoinGroup(msgspec.Struct, frozen=True, array_like=True, tag="join"):
+    """Asks the leader to take a replica in as a learner."""
+
+    group: GroupId
+    peer: consensus.Peer
+
+
+class Propose(msgspec.Struct, frozen=True, array_like=True, tag="propose"):
+    """Asks a group's leader to commit a command; the answer is its result."""
+
+    group: GroupId
+    command: machine.Command
+
+
+class Committed(msgspec.Struct, frozen=True, array_like=True, tag="committed"):
+    """Carries the result of a committed command."""
+
+    result: machine.Result
+
+
+class RenewSession(msgspec.Struct, frozen=True, array_like=True, tag="renew"):
+    """Keeps a process's leases alive, and asks which of its jobs were stopped."""
+
+    group: GroupId
+    holder: MemberName
+    jobs: list[JobId]
+
+
+class SessionRenewed(msgspec.Struct, frozen=True, array_like=True, tag="renewed"):
+    """Answers :class:`RenewSession`.
+
+    :param stopped: those of the asked jobs that no longer run.
+    :param waiting: how many items wait in the group.
+    """
+
+    stopped: list[JobId]
+    waiting: int
+
+
+class ReadRequest(msgspec.Struct, frozen=True, array_like=True, tag="read_request"):
+    """Asks for an online request."""
+
+    group: GroupId
+    workspace: WorkspaceId
+    record: RecordId
+
+
+class ReadJob(msgspec.Struct, frozen=True, array_like=True, tag="read_job"):
+    """Asks for a job."""
+
+    group: GroupId
+    workspace: WorkspaceId
+    job: JobId
+
+
+class ListJobs(msgspec.Struct, frozen=True, array_like=True, tag="list_jobs"):
+    """Asks for the jobs of a workspace."""
+
+    group: GroupId
+    workspace: WorkspaceId
+
+
+class Jobs(msgspec.Struct, frozen=True, array_like=True, tag="jobs"):
+    """The jobs of a workspace, oldest first."""
+
+    jobs: list[jobs.JobView]
+
+
+class ReadItems(msgspec.Struct, frozen=True, array_like=True, tag="read_items"):
+    """Asks for a page of a job's outcomes."""
+
+    group: GroupId
+    workspace: WorkspaceId
+    job: JobId
+    first: int
+    count: int
+
+
+class ReadFile(msgspec.Struct, frozen=True, array_like=True, tag="read_file"):
+    """Asks for a file."""
+
+    group: GroupId
+    workspace: WorkspaceId
+    file: FileId
+
+
+class ReadPart(msgspec.Struct, frozen=True, array_like=True, tag="read_part"):
+    """Asks for one part of a file."""
+
+    group: GroupId
+    workspace: WorkspaceId
+    file: FileId
+    part: int
+
+
+class FilePart(msgspec.Struct, frozen=True, array_like=True, tag="part"):
+    """One part of a file."""
+
+    data: bytes
+
+
+class ListFiles(msgspec.Struct, frozen=True, array_like=True, tag="list_files"):
+    """Asks for the files of a workspace."""
+
+    group: GroupId
+    workspace: WorkspaceId
+
+
+class Files(msgspec.Struct, frozen=True, array_like=True, tag="files"):
+    """The files of a workspace."""
+
+    files: list[jobs.FileView]
+
+
+class ReadHistory(msgspec.Struct, frozen=True, array_like=True, tag="read_history"):
+    """Asks for the revisions of the configuration."""
+
+
+class History(msgspec.Struct, frozen=True, array_like=True, tag="history"):
+    """The revisions that are kept, oldest first."""
+
+    changes: list[control.Change]
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """A live process of the system.
+
+    :param incarnation: differs for every start of the process.
+    :param backend: the backend server it is the way to, for an agent.
+    :param revision: the configuration it has in force.
+    """
+
+    name: MemberName
+    incarnation: str
+    role: MemberRole
+    address: str
+    data_centre: str
+    region: str
+    state: MemberState
+    revision: Revision
+    backend: BackendName = BackendName("")
+
+
+class ListMembers(msgspec.Struct, frozen=True, array_like=True, tag="list_members"):
+    """Asks for all live members, with the revision that each has in force."""
+
+
+class Members(msgspec.Struct, frozen=True, array_like=True, tag="members"):
+    """The live members."""
+
+    members: list[Member]
+
+
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="heartbeat"):
+    """Tells the control group's leader that a member lives.
+
+    :param members_version: the member list that it knows.
+    """
+
+    member: Member
+    members_version: int
+
+
+class HeartbeatReply(msgspec.Struct, frozen=True, array_like=True, tag="heartbeat_reply"):
+    """Answers :class:`Heartbeat`.
+
+    :param change: the configuration, if the member is behind.
+    :param members: the live members, if the list changed.
+    :param complete: false while a new leader has not heard everybody yet.
+    """
+
+    change: control.Change | None
+    members_version: int
+    members: list[Member] | None
+    complete: bool
+
+
+class AskStatus(msgspec.Struct, frozen=True, array_like=True, tag="ask_status"):
+    """Asks a ledger process how its groups do."""
+
+
+class GroupStatus(msgspec.Struct, frozen=True, array_like=True):
+    """How one replica of a group does."""
+
+    group: GroupId
+    replica: ReplicaId
+    role: str
+    term: int
+    commit: int
+    last: int
+    voters: list[str]
+    learners: list[str]
+    late: int
+
+
+class LedgerStatus(msgspec.Struct, frozen=True, array_like=True, tag="status"):
+    """How a ledger process does."""
+
+    name: MemberName
+    groups: list[GroupStatus]
+
+
+class RunModel(msgspec.Struct, frozen=True, array_like=True, tag="run_model"):
+    """Asks an agent to run one online request on its engine; answered by a stream.
+
+    :param body: the JSON body for the engine.
+    :param resume_text: what another agent had produced before it was lost.
+    :param resume_tokens: how many tokens that is.
+    :param due_in: seconds in which the first token is wanted.
+    """
+
+    record: RecordId
+    workspace: WorkspaceId
+    path: str
+    model: str
+    body: bytes
+    prompt_tokens: int
+    max_tokens: int
+    resume_text: str
+    resume_tokens: int
+    due_in: float
+
+
+class AgentLoad(msgspec.Struct, frozen=True, array_like=True):
+    """How busy an agent is, for placement.
+
+    :param share: online work, running and waiting, as a share of its slots.
+    :param slowness: how much slower than usual its recent pace is.
+    """
+
+    share: float
+    slowness: float
+
+
+class TokenChunk(msgspec.Struct, frozen=True, array_like=True, tag="tokens"):
+    """Some tokens of an answer.
+
+    :param position: how many tokens of this stream came before these, so that a gap shows.
+    :param finish: why the answer ended; empty while it goes on.
+    """
+
+    position: int
+    text: str
+    tokens: int
+    finish: str
+    prompt_tokens: int
+    cached_tokens: int
+    load: AgentLoad
+
+
+class RunCall(msgspec.Struct, frozen=True, array_like=True, tag="run_call"):
+    """Asks an agent to make one call to its plain service."""
+
+    record: RecordId
+    group: GroupId
+    workspace: WorkspaceId
+    service: str
+    method: str
+    target: str
+    content_type: str
+    body: bytes
+    repeatable: bool
+    key: str
+    due_in: float
+
+
+class CallAnswer(msgspec.Struct, frozen=True, array_like=True, tag="call_answer"):
+    """The answer of a plain service.
+
+    :param status: the HTTP status; 0 if the call was started before, elsewhere.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    load: AgentLoad
+
+
+Body = (
+    Ping
+    | Pong
+    | CancelCall
+    | Failure
+    | ReplicaPacket
+    | AskIdentity
+    | Identity
+    | JoinGroup
+    | Propose
+    | Committed
+    | RenewSession
+    | SessionRenewed
+    | ReadRequest
+    | ReadJob
+    | ListJobs
+    | Jobs
+    | ReadItems
+    | jobs.ItemViews
+    | ReadFile
+    | ReadPart
+    | FilePart
+    | ListFiles
+    | Files
+    | ReadHistory
+    | History
+    | ListMembers
+    | Members
+    | Heartbeat
+    | HeartbeatReply
+    | AskStatus
+    | LedgerStatus
+    | RunModel
+    | TokenChunk
+    | RunCall
+    | CallAnswer
+    | requests.RequestView
+    | jobs.JobView
+    | jobs.FileView
+    | jobs.Done
+)
+
+
+class Sender(msgspec.Struct, frozen=True, array_like=True):
+    """Who sends, and which configuration it has in force."""
+
+    name: MemberName
+    data_centre: str
+    region: str
+    revision: Revision
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """One message on the wire.
+
+    :param call: the caller's number for the exchange; 0 expects no answer.
+    :param last: false if more answers to the same call follow.
+    """
+
+    call: int
+    last: bool
+    sender: Sender
+    body: Body
--- /dev/null
+++ b/verbenashore/metrics.py
@@ -0,0 +1,59 @@
+"""Counters and histograms, for statsd and for the metrics page."""
+
+from collections import Counter
+from typing import Any
+
+import statsd
+from hdrh.histogram import HdrHistogram
+
+from verbenashore.settings import Address
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+DIGITS = 2
+PERCENTILES = (50, 95, 99, 99.9)
+
+
+class Metrics:
+    """Owns the histograms of one process; each has a workspace and a class in its name."""
+
+    def __init__(self, process: str, daemons: tuple[Address, ...]) -> None:
+        self._counts: Counter[str] = Counter()
+        self._histogram_by_name: dict[str, HdrHistogram] = {}
+        self._client = (
+            statsd.StatsClient(daemons[0].host, daemons[0].port, prefix=f"verbena.{process}")
+            if daemons
+            else None
+        )
+
+    def count(self, name: str, by: int = 1) -> None:
+        """Adds to a counter."""
+        self._counts[name] += by
+        if self._client is not None:
+            self._client.incr(name, by)
+
+    def time(self, name: str, seconds: float) -> None:
+        """Adds a duration to a histogram."""
+        histogram = self._histogram_by_name.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+            self._histogram_by_name[name] = histogram
+        histogram.record_value(max(LOWEST_US, min(HIGHEST_US, int(seconds * 1e6))))
+        if self._client is not None:
+            self._client.timing(name, seconds * 1000)
+
+    def report(self) -> dict[str, Any]:
+        """Returns all counters, and percentiles of all histograms in milliseconds."""
+        return {
+            "counters": dict(self._counts),
+            "histograms_ms": {
+                name: {
+                    "count": histogram.get_total_count(),
+                    **{
+                        f"p{share:g}": histogram.get_value_at_percentile(share) / 1000
+                        for share in PERCENTILES
+                    },
+                }
+                for name, histogram in self._histogram_by_name.items()
+            },
+        }
--- /dev/null
+++ b/verbenashore/online.py
@@ -0,0 +1,406 @@
+"""The callers' interface for online work: completions, plain services and results."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from verbenashore import completions, deployment, limits, misc, placement
+from verbenashore.callers import CallerDirectory, idempotency_key
+from verbenashore.client import GroupClient
+from verbenashore.completions import Completion, ModelCall
+from verbenashore.deployment import Service, Workspace
+from verbenashore.exceptions import (
+    BadRequestError,
+    KeyConflictError,
+    LinkSilentError,
+    NotFoundError,
+    OutcomeUnknownError,
+    OverloadedError,
+    UnavailableError,
+    VerbenaError,
+)
+from verbenashore.httpserver import Request, Responder
+from verbenashore.limits import Limits
+from verbenashore.messages import CallAnswer, ReadRequest, RunCall, TokenChunk
+from verbenashore.placement import Placement, Target
+from verbenashore.process import Process
+from verbenashore.requests import (
+    AbandonRequest,
+    AcceptRequest,
+    Answer,
+    CompleteRequest,
+    ReleaseRequest,
+    RequestView,
+)
+from verbenashore.shards import Shards
+from verbenashore.streams import StreamRunner
+from verbenashore.types import (
+    IdempotencyKey,
+    MemberName,
+    RecordId,
+    RequestState,
+    ServiceKind,
+    WorkClass,
+)
+from verbenashore.view import SystemView
+
+SERVICES_PREFIX = "/v1/services/"
+RESULTS_PREFIX = "/v1/results/"
+MODELS_PATH = "/v1/models"
+LEDGER_SECONDS = 8.0
+ATTACH_POLL_SECONDS = 0.1
+MAX_CALL_ATTEMPTS = 4
+ID_HEADER = "x-verbena-request"
+
+
+class OnlineInterface:
+    """Answers online requests; each is accepted by the ledger and its answer committed there."""
+
+    def __init__(
+        self,
+        running: Process,
+        view: SystemView,
+        shards: Shards,
+        callers: CallerDirectory,
+        used: Limits,
+        streams: StreamRunner,
+        targets: Placement,
+    ) -> None:
+        self._process = running
+        self._view = view
+        self._shards = shards
+        self._callers = callers
+        self._limits = used
+        self._streams = streams
+        self._placement = targets
+        self._holder = MemberName(running.incarnation)
+
+    async def handle(self, request: Request, respond: Responder) -> bool:
+        """Answers a request of this interface; false if the path is none of its paths."""
+        if request.path in completions.PATHS and request.method == "POST":
+            await self._limited(request, respond, self._complete)
+        elif request.path.startswith(SERVICES_PREFIX):
+            await self._limited(request, respond, self._call_service)
+        elif request.path.startswith(RESULTS_PREFIX) and request.method == "GET":
+            await self._read_result(request, respond)
+        elif request.path == MODELS_PATH and request.method == "GET":
+            await self._list_models(request, respond)
+        else:
+            return False
+        return True
+
+    async def _limited(self, request: Request, respond: Responder, answer) -> None:
+        """Answers within the workspace's limits, and measures."""
+        workspace = self._callers.find(request)
+        started = self._process.clock()
+        wait = limits.admit(self._limits, workspace, started)
+        if wait:
+            self._process.metrics.count(f"refused.{workspace.name}")
+            raise OverloadedError(
+                "the workspace's limit is reached", step="limit", retry_after=wait
+            )
+        try:
+            await answer(workspace, request, respond)
+        finally:
+            limits.release(self._limits, workspace.name)
+            name = f"request.{workspace.name}.{WorkClass.ONLINE.value}"
+            self._process.metrics.time(name, self._process.clock() - started)
+
+    def _new_acceptance(
+        self, workspace: Workspace, request: Request, *, repeatable: bool
+    ) -> tuple[GroupClient, AcceptRequest, bool]:
+        """Returns the shard, the command and whether the caller gave a key."""
+        given = idempotency_key(request)
+        key = given or IdempotencyKey(f"made:{misc.random_id('key')}")
+        shard = self._shards.for_key(workspace.name, key)
+        command = AcceptRequest(
+            RecordId(self._shards.new_id("req", shard.group)),
+            workspace.name,
+            key,
+            misc.digest(f"{request.method} {request.target}\n".encode() + request.body),
+            self._holder,
+            repeatable,
+            self._view.deployment.retention.requests_seconds,
+        )
+        return shard, command, given is not None
+
+    async def _accept(self, shard: GroupClient, command: AcceptRequest) -> RequestView:
+        """Commits the acceptance.
+
+        :raises KeyConflictError: if the key was used before with another body.
+        """
+        view = await shard.propose(command, LEDGER_SECONDS)
+        assert isinstance(view, RequestView)
+        if view.conflict:
+            raise KeyConflictError(
+                f"the key belongs to {view.record}, which has another body",
+                step="accept",
+                field="idempotency-key",
+                not_run=True,
+            )
+        return view
+
+    async def _complete(self, workspace: Workspace, request: Request, respond: Responder) -> None:
+        call = completions.parse_call(request.path, request.body)
+        service = deployment.service_of_model(self._view.deployment, call.model)
+        if service is None:
+            raise NotFoundError(
+                f"there is no model {call.model!r}", step="route", field="model", not_run=True
+            )
+        shard, command, keyed = self._new_acceptance(workspace, request, repeatable=True)
+        accepting = asyncio.ensure_future(self._accept(shard, command))
+        try:
+            if keyed:
+                view = await accepting
+                if not view.mine:
+                    answer = await self._attach(shard, workspace, view, command)
+                    if answer is not None:
+                        await _replay(respond, call, view.record, answer)
+                        return
+            parts = self._streams.run(
+                command.record, workspace.name, service.name, call, self._view.deployment.online
+            )
+            async with contextlib.aclosing(parts):  # type: ignore[type-var]
+                await self._relay(shard, accepting, call, workspace, parts, respond)
+        except OverloadedError:
+            await self._abandon(shard, accepting)
+            raise
+        except BaseException:
+            misc.spawn(self._release(shard, command), self._process.tasks)
+            raise
+        finally:
+            await misc.cancel_and_wait(accepting)
+
+    async def _release(self, shard: GroupClient, command: AcceptRequest) -> None:
+        """Lets whoever resends a request see to it, now that its caller here is gone."""
+        with contextlib.suppress(VerbenaError):
+            view = await self._accept(shard, command)
+            if view.mine:
+                await shard.propose(ReleaseRequest(view.record, command.record), LEDGER_SECONDS)
+
+    async def _abandon(self, shard: GroupClient, accepting: "asyncio.Future[RequestView]") -> None:
+        """Notes that an accepted request was not run, so that its key may be used again."""
+        with contextlib.suppress(VerbenaError):
+            view = await accepting
+            await shard.propose(AbandonRequest(view.record), LEDGER_SECONDS)
+
+    async def _relay(
+        self,
+        shard: GroupClient,
+        accepting: "asyncio.Future[RequestView]",
+        call: ModelCall,
+        workspace: Workspace,
+        parts: AsyncIterator[TokenChunk],
+        respond: Responder,
+    ) -> None:
+        """Passes the parts on; the whole answer is committed before its last part is."""
+        answer = Completion("", call.model, int(time.time()))
+        started = last = self._process.clock()
+        async for part in parts:
+            if not answer.id:
+                answer.id = (await accepting).record
+            now = self._process.clock()
+            metric = "interval" if answer.tokens else "first"
+            self._process.metrics.time(f"{metric}.{workspace.name}.online", now - last)
+            last = now
+            first = not answer.tokens
+            answer.text += part.text
+            answer.tokens += part.tokens
+            answer.prompt_tokens = part.prompt_tokens or answer.prompt_tokens
+            answer.cached_tokens = part.cached_tokens or answer.cached_tokens
+            answer.finish = part.finish
+            if call.stream and part.text:
+                if not respond.started:
+                    await respond.start(200, "text/event-stream", {ID_HEADER: answer.id})
+                await respond.chunk(
+                    completions.event(call.path, answer, part.text, None, first=first)
+                )
+        self._process.metrics.time(f"answer.{workspace.name}.online", last - started)
+        await self._finish(shard, call, answer, respond)
+
+    async def _finish(
+        self, shard: GroupClient, call: ModelCall, answer: Completion, respond: Responder
+    ) -> None:
+        document = msgspec.json.encode(completions.whole(call.path, answer))
+        complete = CompleteRequest(RecordId(answer.id), 200, "application/json", document)
+        await shard.propose(complete, LEDGER_SECONDS)
+        if not call.stream:
+            await respond.whole(200, "application/json", document, {ID_HEADER: answer.id})
+            return
+        if not respond.started:
+            await respond.start(200, "text/event-stream", {ID_HEADER: answer.id})
+        last = completions.event(call.path, answer, "", answer.finish, first=False)
+        if call.include_usage:
+            last += completions.usage_event(call.path, answer)
+        await respond.chunk(last + completions.LAST_EVENT)
+        await respond.end()
+
+    async def _attach(
+        self, shard: GroupClient, workspace: Workspace, view: RequestView, command: AcceptRequest
+    ) -> Answer | None:
+        """Waits for the answer of the first request with a key; None if it is now ours to run.
+
+        :raises OutcomeUnknownError: if it was started and its outcome can't be learned.
+        """
+        deadline = self._process.clock() + self._view.deployment.online.deadline_seconds
+        while self._process.clock() < deadline:
+            if view.answer is not None:
+                return view.answer
+            if view.state is RequestState.OUTCOME_UNKNOWN:
+                raise OutcomeUnknownError(
+                    f"the outcome of {view.record} can't be learned", step="attach"
+                )
+            await asyncio.sleep(ATTACH_POLL_SECONDS)
+            view = await self._accept(shard, command)
+            if view.mine:
+                return None
+        raise UnavailableError(
+            f"{view.record} still runs; ask again with the same key", step="attach"
+        )
+
+    async def _call_service(
+        self, workspace: Workspace, request: Request, respond: Responder
+    ) -> None:
+        service, target = self._find_service(request)
+        repeatable = request.method in service.repeatable_methods
+        shard, command, _ = self._new_acceptance(workspace, request, repeatable=repeatable)
+        view = await self._accept(shard, command)
+        call = RunCall(
+            view.record,
+            shard.group,
+            workspace.name,
+            service.name,
+            request.method,
+            target,
+            request.headers.get("content-type", ""),
+            request.body,
+            repeatable,
+            request.headers.get("idempotency-key", view.record),
+            self._view.deployment.online.deadline_seconds,
+        )
+        try:
+            answer = await self._answer_call(shard, workspace, view, command, call)
+        except BaseException:
+            misc.spawn(self._release(shard, command), self._process.tasks)
+            raise
+        headers = {ID_HEADER: view.record}
+        await respond.whole(answer.status, answer.content_type, answer.body, headers)
+
+    def _find_service(self, request: Request) -> tuple[Service, str]:
+        """Returns the service that a path names, and the target to call there."""
+        name, slash, rest = request.target.removeprefix(SERVICES_PREFIX).partition("/")
+        for service in self._view.deployment.service:
+            if service.name == name and service.kind is ServiceKind.PLAIN:
+                return service, slash + rest or "/"
+        raise NotFoundError(
+            f"there is no service {name!r}", step="route", field="path", not_run=True
+        )
+
+    async def _answer_call(
+        self,
+        shard: GroupClient,
+        workspace: Workspace,
+        view: RequestView,
+        command: AcceptRequest,
+        call: RunCall,
+    ) -> Answer:
+        """Runs a call, or waits for whoever runs it."""
+        answer = view.answer
+        if not view.mine:
+            answer = await self._attach(shard, workspace, view, command)
+        if answer is None:
+            answer = await self._run_call(shard, call)
+        if answer is None:
+            answer = await self._attach(shard, workspace, view, command)
+        if answer is None:
+            raise UnavailableError("the call was not run; ask again", step="call")
+        return answer
+
+    async def _run_call(self, shard: GroupClient, call: RunCall) -> Answer | None:
+        """Runs a call at one agent after the other; None if another process runs it."""
+        excluded: set[MemberName] = set()
+        error: VerbenaError = OverloadedError("no agent serves this now", step="place")
+        for _ in range(MAX_CALL_ATTEMPTS):
+            agent = placement.choose(
+                self._placement, call.service, "", "", excluded, self._process.clock()
+            )
+            if agent is None:
+                break
+            try:
+                return await self._call_agent(shard, agent, call)
+            except (OutcomeUnknownError, KeyConflictError):
+                raise
+            except VerbenaError as failure:
+                error = failure
+                excluded.add(agent.name)
+                placement.note_slow(agent, self._process.clock())
+        return await self._give_up(shard, call.record, error)
+
+    async def _call_agent(self, shard: GroupClient, agent: Target, call: RunCall) -> Answer | None:
+        placement.note_start(agent)
+        try:
+            result = await self._process.links.to(agent.address).call(call, call.due_in)
+        finally:
+            placement.note_end(agent)
+        if not isinstance(result, CallAnswer):
+            raise LinkSilentError("unexpected answer", step="call", peer=agent.name)
+        placement.note_report(agent, result.load, self._process.clock())
+        if not result.status:
+            return None
+        answer = Answer(result.status, result.content_type, result.body)
+        if call.repeatable:
+            await shard.propose(
+                CompleteRequest(call.record, answer.status, answer.content_type, answer.body),
+                LEDGER_SECONDS,
+            )
+        return answer
+
+    async def _give_up(
+        self, shard: GroupClient, record: RecordId, error: VerbenaError
+    ) -> Answer | None:
+        """Ends a request that no agent answered; says ``not_run`` only if that is committed."""
+        view = await shard.propose(AbandonRequest(record), LEDGER_SECONDS)
+        if isinstance(view, RequestView) and view.state is RequestState.NOT_RUN:
+            raise OverloadedError(error.message, step=error.step, peer=error.peer)
+        return view.answer if isinstance(view, RequestView) else None
+
+    async def _read_result(self, request: Request, respond: Responder) -> None:
+        workspace = self._callers.find(request)
+        record = RecordId(request.path.removeprefix(RESULTS_PREFIX))
+        shard = self._shards.for_id(record)
+        ask = ReadRequest(shard.group, workspace.name, record)
+        view = await shard.ask(ask, LEDGER_SECONDS)
+        if not isinstance(view, RequestView):
+            raise BadRequestError("unexpected answer", step="read", field="id")
+        answer = view.answer
+        document = {
+            "id": view.record,
+            "object": "result",
+            "state": view.state.value,
+            "status": answer.status if answer else None,
+            "content_type": answer.content_type if answer else None,
+            "body": answer.body.decode("utf-8", "replace") if answer else None,
+        }
+        await respond.json(200, document)
+
+    async def _list_models(self, request: Request, respond: Responder) -> None:
+        self._callers.find(request)
+        models = [
+            {"id": model.name, "object": "model", "created": 0, "owned_by": "verbenashore"}
+            for model in self._view.deployment.model
+        ]
+        await respond.json(200, {"object": "list", "data": models})
+
+
+async def _replay(respond: Responder, call: ModelCall, record: RecordId, answer: Answer) -> None:
+    """Gives a committed answer again, in the form that was asked for."""
+    headers = {ID_HEADER: record}
+    if not call.stream or answer.status != 200:
+        await respond.whole(answer.status, answer.content_type, answer.body, headers)
+        return
+    await respond.start(200, "text/event-stream", headers)
+    await respond.chunk(completions.replayed(call.path, answer.body, call.include_usage))
+    await respond.end()
--- /dev/null
+++ b/verbenashore/placement.py
@@ -0,0 +1,145 @@
+"""An entry's choice of the agent for a piece of online work; without I/O."""
+
+import msgspec
+
+from verbenashore import misc
+from verbenashore.messages import AgentLoad, Member
+from verbenashore.types import BackendName, MemberName
+
+#: Load that an affine agent may have above the least loaded one, as a share of its slots.
+AFFINITY_SLACK = 0.25
+#: From this share of its slots on an agent gets no work for the sake of its cache.
+AFFINITY_LIMIT = 0.75
+#: An agent this much slower than usual is avoided.
+SLOW = 2.0
+#: Seconds for which a slow agent is avoided before it is tried again.
+AVOID_SECONDS = 0.5
+#: Seconds after which a reported load says nothing any more.
+REPORT_SECONDS = 1.0
+#: Load that another region counts as, for the way there.
+DISTANCE_LOAD = 0.1
+
+
+class Target(msgspec.Struct):
+    """What an entry knows of one agent.
+
+    :param outstanding: this entry's own pieces there.
+    :param avoid_until: a time on the entry's clock.
+    """
+
+    name: MemberName
+    backend: BackendName
+    address: str
+    slots: int
+    is_near: bool
+    models: frozenset[str]
+    service: str
+    outstanding: int = 0
+    reported: float = 0.0
+    reported_at: float = float("-inf")
+    avoid_until: float = float("-inf")
+
+
+class Placement(msgspec.Struct):
+    """What an entry knows of all agents that it may choose.
+
+    :param baseline: the plain policy: one after the other.
+    """
+
+    baseline: bool = False
+    target_by_name: dict[MemberName, Target] = msgspec.field(default_factory=dict)
+    turn: int = 0
+
+
+def update(placement: Placement, targets: list[Target]) -> None:
+    """Takes over a new list of agents and keeps what is known of those that stay."""
+    known = placement.target_by_name
+    for target in targets:
+        before = known.get(target.name)
+        if before is not None and before.address == target.address:
+            target.outstanding = before.outstanding
+            target.reported = before.reported
+            target.reported_at = before.reported_at
+            target.avoid_until = before.avoid_until
+    placement.target_by_name = {target.name: target for target in targets}
+
+
+def choose(
+    placement: Placement,
+    service: str,
+    model: str,
+    prefix: str,
+    excluded: set[MemberName],
+    now: float,
+) -> Target | None:
+    """Chooses an agent; None if there is none left.
+
+    :param model: empty for a plain service.
+    :param prefix: the start of the prompt, for affinity; empty for none.
+    """
+    able = [
+        target
+        for target in placement.target_by_name.values()
+        if target.name not in excluded
+        and target.service == service
+        and (not model or model in target.models)
+    ]
+    if not able:
+        return None
+    if placement.baseline:
+        placement.turn += 1
+        return able[placement.turn % len(able)]
+    fast = [target for target in able if target.avoid_until <= now] or able
+    least = min(fast, key=lambda target: (_load(target, now), _affinity(target, prefix)))
+    if not prefix:
+        return least
+    affine = min(fast, key=lambda target: _affinity(target, prefix))
+    bound = min(_load(least, now) + AFFINITY_SLACK, AFFINITY_LIMIT)
+    return affine if _load(affine, now) <= bound else least
+
+
+def note_start(target: Target) -> None:
+    """Notes that a piece was sent."""
+    target.outstanding += 1
+
+
+def note_end(target: Target) -> None:
+    """Notes that a piece has ended."""
+    target.outstanding = max(0, target.outstanding - 1)
+
+
+def note_report(target: Target, load: AgentLoad, now: float) -> None:
+    """Takes in what an agent says of itself."""
+    target.reported = load.share
+    target.reported_at = now
+    if load.slowness >= SLOW:
+        note_slow(target, now)
+
+
+def note_slow(target: Target, now: float) -> None:
+    """Keeps new work away from an agent for a moment."""
+    target.avoid_until = now + AVOID_SECONDS
+
+
+def to_target(member: Member, slots: int, models: list[str], service: str, region: str) -> Target:
+    """Returns what is known of an agent that was never used."""
+    return Target(
+        member.name,
+        member.backend,
+        member.address,
+        slots,
+        member.region == region,
+        frozenset(models),
+        service,
+    )
+
+
+def _load(target: Target, now: float) -> float:
+    own = target.outstanding / target.slots
+    reported = target.reported if now - target.reported_at < REPORT_SECONDS else 0.0
+    return max(own, reported) + (0.0 if target.is_near else DISTANCE_LOAD)
+
+
+def _affinity(target: Target, prefix: str) -> int:
+    """Orders the agents for a prefix; only a lost agent's prefixes move."""
+    return misc.quick_hash(f"{target.name}/{prefix}")
--- /dev/null
+++ b/verbenashore/replica.py
@@ -0,0 +1,343 @@
+"""Runs one replica of a group: its inbox, its disk and its state machine."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from verbenashore import consensus, logs, machine, misc, storage
+from verbenashore.consensus import EntryKind, LogEntry, Packet, Peer, Role, SnapshotRequest
+from verbenashore.exceptions import NotLeaderError, UnavailableError
+from verbenashore.logs import Event
+from verbenashore.machine import Command, Result
+from verbenashore.types import Clock, GroupId, LogIndex, MemberName
+
+TICK_SECONDS = 0.02
+SNAPSHOT_LOG_BYTES = 16 << 20
+
+
+class Proposal(msgspec.Struct):
+    """A command that waits for its commit."""
+
+    command: Command
+    answer: asyncio.Future[Result]
+
+
+class Pending(msgspec.Struct):
+    """A proposal that is in the log."""
+
+    term: int
+    answer: asyncio.Future[Result]
+
+
+class SnapshotDone(msgspec.Struct):
+    """A snapshot that has been written."""
+
+    snapshot: storage.Snapshot
+
+
+class JoinWish(msgspec.Struct):
+    """A replica that wants to be a learner."""
+
+    peer: Peer
+
+
+Input = Packet | Proposal | SnapshotDone | JoinWish
+
+
+class ReplicaRunner:
+    """Owns one replica; everything reaches it through its inbox.
+
+    :param send: sends a packet to a peer.
+    :param size: how many voters the group should have.
+    :param trace: file to which committed commands are added; none if empty.
+    """
+
+    def __init__(
+        self,
+        group: GroupId,
+        own: tuple[MemberName, str],
+        path: Path,
+        timing: consensus.Timing,
+        clock: Clock,
+        send: Callable[[Peer, Packet], None],
+        size: int,
+        trace: str,
+    ) -> None:
+        self.group = group
+        self.size = size
+        self._clock = clock
+        self._send = send
+        self._trace = Path(f"{trace}.{group}") if trace else None
+        self.leader_known = asyncio.Event()
+        self._folder, loaded = storage.open_folder(path)
+        if loaded.cut:
+            logs.warning(Event.TAIL_CUT, group=group, bytes=loaded.cut)
+        self._snapshot = loaded.snapshot
+        self.state = machine.restore(loaded.snapshot.data, group)
+        self.peer = Peer(self._folder.replica_id, own[0], own[1])
+        self.core = consensus.new_replica(
+            self.peer.id,
+            timing,
+            misc.quick_hash(f"{self.peer.id}/{time.time_ns()}"),
+            loaded.hard,
+            loaded.snapshot.base,
+            loaded.entries,
+            clock(),
+        )
+        self._inbox: asyncio.Queue[Input] = asyncio.Queue()
+        self._pending_by_index: dict[LogIndex, Pending] = {}
+        self._log_bytes = 0
+        self._snapshotting = False
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._time_base = 0.0
+        self._clock_base = 0.0
+        self._was_serving = False
+        self._was_leader = False
+
+    @property
+    def formed(self) -> bool:
+        """True if the replica knows a membership."""
+        return bool(consensus.membership(self.core).voters)
+
+    @property
+    def serving(self) -> bool:
+        """True if this replica leads and may answer at this moment."""
+        return consensus.may_serve(self.core, self._clock())
+
+    @property
+    def leader_address(self) -> str:
+        """The address of the leader, if it is known."""
+        known = consensus.membership(self.core)
+        peers = (*known.voters, *known.learners)
+        return next((peer.address for peer in peers if peer.id == self.core.leader), "")
+
+    @property
+    def ledger_time(self) -> float:
+        """The time that the next command would be stamped with."""
+        return self._time_base + self._clock() - self._clock_base
+
+    def check_serving(self) -> None:
+        """Raises an error unless this replica may answer reads at this moment.
+
+        :raises NotLeaderError: its peer is the leader's address, if known.
+        """
+        if not self.serving:
+            hint = self.leader_address if self.core.role is not Role.LEADER else ""
+            raise NotLeaderError("this replica does not lead", step="serve", peer=hint)
+
+    def take(self, item: Packet | JoinWish) -> None:
+        """Puts a message into the inbox."""
+        self._inbox.put_nowait(item)
+
+    async def propose(self, command: Command) -> Result:
+        """Commits a command and returns its result.
+
+        :raises NotLeaderError: if this replica doesn't lead; nothing was done.
+        :raises UnavailableError: if leadership was lost meanwhile; the command may be committed.
+        """
+        self.check_serving()
+        answer: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
+        self._inbox.put_nowait(Proposal(command, answer))
+        return await answer
+
+    def bootstrap(self, voters: tuple[Peer, ...]) -> None:
+        """Forms a new group."""
+        logs.info(Event.GROUP_FORMED, group=self.group, voters=[peer.name for peer in voters])
+        consensus.bootstrap(self.core, voters, self._clock())
+
+    def hand_over(self) -> None:
+        """Gives the leadership away, before a planned stop."""
+        consensus.hand_over(self.core, self._clock())
+        if not self.leader_address:
+            self.leader_known.clear()
+
+    async def run(self) -> None:
+        """Runs the replica until it is cancelled or its disk fails.
+
+        :raises StorageError: if the disk refuses a write; the replica must not go on.
+        """
+        try:
+            while True:
+                batch = await self._next_batch()
+                self._feed(batch)
+                consensus.tick(self.core, self._clock())
+                self._tend()
+                await self._carry_out()
+        finally:
+            await misc.cancel_and_wait(*self._tasks)
+            storage.close(self._folder)
+
+    async def _next_batch(self) -> list[Input]:
+        batch: list[Input] = []
+        try:
+            async with asyncio.timeout(TICK_SECONDS):
+                batch.append(await self._inbox.get())
+        except TimeoutError:
+            return batch
+        while not self._inbox.empty():
+            batch.append(self._inbox.get_nowait())
+        return batch
+
+    def _feed(self, batch: list[Input]) -> None:
+        now = self._clock()
+        proposals = []
+        for item in batch:
+            if isinstance(item, Packet):
+                consensus.receive(self.core, item, now)
+            elif isinstance(item, Proposal):
+                proposals.append(item)
+            elif isinstance(item, SnapshotDone):
+                self._finish_snapshot(item.snapshot)
+            else:
+                self._admit(item.peer, now)
+        if proposals:
+            self._propose_all(proposals, now)
+
+    def _propose_all(self, proposals: list[Proposal], now: float) -> None:
+        if not consensus.may_serve(self.core, now):
+            error = NotLeaderError("leadership was lost", step="propose", peer=self.leader_address)
+            for proposal in proposals:
+                _fail(proposal.answer, error)
+            return
+        stamp = self.ledger_time
+        commands = [machine.encode(proposal.command, stamp) for proposal in proposals]
+        indexes = consensus.propose(self.core, commands, now)
+        for index, proposal in zip(indexes, proposals, strict=True):
+            self._pending_by_index[index] = Pending(self.core.hard.term, proposal.answer)
+
+    def _admit(self, peer: Peer, now: float) -> None:
+        """Takes a replica in as a learner, or notes its new address."""
+        known = consensus.membership(self.core)
+        found = next((p for p in (*known.voters, *known.learners) if p.id == peer.id), None)
+        if found == peer:
+            return
+        if found is None:
+            changed = consensus.with_learner(known, peer)
+        else:
+            changed = consensus.Membership(
+                tuple(peer if voter.id == peer.id else voter for voter in known.voters),
+                tuple(peer if other.id == peer.id else other for other in known.learners),
+            )
+        if consensus.change_membership(self.core, changed, now):
+            logs.info(Event.REPLICA_JOINED, group=self.group, peer=peer.name, replica=peer.id)
+
+    def _tend(self) -> None:
+        """Notices changes of leadership, and repairs the membership."""
+        serving = self.serving
+        leading = self.core.role is Role.LEADER
+        if serving and not self._was_serving:
+            self._time_base = self.state.time
+            self._clock_base = self._clock()
+            logs.info(Event.LEADER_ELECTED, group=self.group, term=self.core.hard.term)
+        if self._was_leader and not leading:
+            logs.info(Event.LEADER_LOST, group=self.group, term=self.core.hard.term)
+            self._fail_pending()
+        if self.leader_address:
+            self.leader_known.set()
+        else:
+            self.leader_known.clear()
+        self._was_serving = serving
+        self._was_leader = leading
+        change = consensus.next_change(self.core, self.size, self._clock())
+        if change is not None:
+            names = [peer.name for peer in change.voters]
+            logs.info(Event.REPLICA_REMOVED, group=self.group, voters=names)
+            consensus.change_membership(self.core, change, self._clock())
+
+    def _fail_pending(self) -> None:
+        error = UnavailableError("leadership was lost before the commit", step="commit")
+        for pending in self._pending_by_index.values():
+            _fail(pending.answer, error)
+        self._pending_by_index.clear()
+
+    async def _carry_out(self) -> None:
+        """Does what the core wants done, until it wants nothing more."""
+        while True:
+            output = consensus.take_output(self.core)
+            if output.install is not None:
+                await self._install(output.install)
+            elif output.hard_state is not None or output.entries:
+                await asyncio.to_thread(
+                    storage.write, self._folder, output.hard_state, output.entries
+                )
+                self._log_bytes += sum(len(entry.data) for entry in output.entries)
+            if output.entries:
+                index = output.entries[-1].index
+                consensus.synced(self.core, index, self._clock())
+            for packet in output.packets:
+                self._post(packet)
+            self._apply(output.committed)
+            if not (output.entries or output.committed or output.install):
+                break
+        self._snapshot_if_due()
+
+    def _post(self, packet: Packet) -> None:
+        known = consensus.membership(self.core)
+        peers = (*known.voters, *known.learners)
+        peer = next((peer for peer in peers if peer.id == packet.to), None)
+        if isinstance(packet.message, SnapshotRequest):
+            message = msgspec.structs.replace(
+                packet.message, base=self._snapshot.base, data=self._snapshot.data
+            )
+            packet = Packet(packet.sender, packet.to, message)
+        self._send(peer or Peer(packet.to, MemberName(""), ""), packet)
+
+    def _apply(self, entries: list[LogEntry]) -> None:
+        for entry in entries:
+            result = None
+            if entry.kind is EntryKind.COMMAND:
+                result = machine.apply(self.state, entry.index, entry.data)
+                self._record(entry)
+            pending = self._pending_by_index.pop(entry.index, None)
+            if pending is None or pending.answer.done():
+                continue
+            if pending.term == entry.term:
+                pending.answer.set_result(result)
+            else:
+                _fail(pending.answer, UnavailableError("the entry was replaced", step="commit"))
+
+    def _record(self, entry: LogEntry) -> None:
+        if self._trace is not None:
+            with self._trace.open("ab") as stream:
+                stream.write(msgspec.json.encode(entry) + b"\n")
+
+    async def _install(self, request: SnapshotRequest) -> None:
+        self._snapshot = storage.Snapshot(request.base, request.data)
+        self._folder.hard = self.core.hard
+        await asyncio.to_thread(
+            storage.reset_log, self._folder, self._snapshot, list(self.core.entries)
+        )
+        self.state = machine.restore(request.data, self.group)
+        logs.info(Event.SNAPSHOT_INSTALLED, group=self.group, index=request.base.index)
+
+    def _snapshot_if_due(self) -> None:
+        limit = max(SNAPSHOT_LOG_BYTES, len(self._snapshot.data))
+        if self._snapshotting or self._log_bytes < limit or not self.state.applied:
+            return
+        self._snapshotting = True
+        self._log_bytes = 0
+        base = consensus.base_at(self.core, self.core.handed_out)
+        taken = storage.Snapshot(base, machine.snapshot(self.state))
+        misc.spawn(self._write_snapshot(taken), self._tasks)
+
+    async def _write_snapshot(self, taken: storage.Snapshot) -> None:
+        await asyncio.to_thread(storage.write_snapshot, self._folder, taken)
+        self._inbox.put_nowait(SnapshotDone(taken))
+
+    def _finish_snapshot(self, taken: storage.Snapshot) -> None:
+        self._snapshotting = False
+        if taken.base.index <= self.core.base.index:
+            return
+        self._snapshot = taken
+        consensus.compact(self.core, taken.base.index)
+        storage.drop_covered(self._folder, taken.base.index)
+        logs.info(Event.SNAPSHOT_WRITTEN, group=self.group, index=taken.base.index)
+
+
+def _fail(answer: asyncio.Future[Result], error: Exception) -> None:
+    if not answer.done():
+        answer.set_exception(error)
--- /dev/null
+++ b/verbenashore/settings.py
@@ -0,0 +1,166 @@
+"""Settings of a process, read from flags and environment variables and checked at the start."""
+
+import argparse
+import os
+import sys
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import msgspec
+
+from verbenashore.exceptions import SettingsError
+from verbenashore.version import __version__
+
+EXIT_BAD_SETTINGS = 2
+ENVIRONMENT_PREFIX = "VERBENA_"
+
+
+class Setting(msgspec.Struct, frozen=True):
+    """One setting of a process.
+
+    :param name: the flag without its dashes, such as ``listen``.
+    :param parse: turns the text into a value, or raises ``ValueError``.
+    :param help: what it means, with its unit.
+    :param default: the text used when none is given; None makes the setting required.
+    """
+
+    name: str
+    parse: Callable[[str], Any]
+    help: str
+    default: str | None = None
+
+    @property
+    def attribute(self) -> str:
+        """The name under which the value is found."""
+        return self.name.replace("-", "_")
+
+    @property
+    def variable(self) -> str:
+        """The environment variable that gives the setting."""
+        return ENVIRONMENT_PREFIX + self.attribute.upper()
+
+
+class Address(msgspec.Struct, frozen=True):
+    """An IP number and a port.
+
+    :param host: the IP number.
+    :param port: the TCP port.
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Reads ``IP:PORT``."""
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"{text!r} is not IP:PORT")
+    if not all(part.isdigit() and int(part) < 256 for part in host.split(".")):
+        raise ValueError(f"{host!r} is not an IP number")
+    return Address(host, int(port))
+
+
+def parse_addresses(text: str) -> tuple[Address, ...]:
+    """Reads addresses separated by commas."""
+    return tuple(parse_address(part) for part in text.split(",") if part)
+
+
+def parse_seconds(text: str) -> float:
+    """Reads a positive number of seconds."""
+    value = float(text)
+    if not 0 < value < 1e9:
+        raise ValueError(f"{text!r} is not a positive number of seconds")
+    return value
+
+
+def parse_count(text: str) -> int:
+    """Reads a whole number of at least one."""
+    value = int(text)
+    if value < 1:
+        raise ValueError(f"{text!r} is not a whole number of at least 1")
+    return value
+
+
+def parse_name(text: str) -> str:
+    """Reads a name made of letters, digits, dashes, dots and underscores."""
+    if not text or not all(c.isalnum() or c in "-_." for c in text):
+        raise ValueError(f"{text!r} may hold only letters, digits, '-', '.' and '_'")
+    return text
+
+
+def parse_choice(*choices: str) -> Callable[[str], str]:
+    """Returns a reader of one of some words."""
+
+    def parse(text: str) -> str:
+        if text not in choices:
+            raise ValueError(f"{text!r} is not one of {', '.join(choices)}")
+        return text
+
+    return parse
+
+
+#: Settings that every long-running process has.
+COMMON = (
+    Setting("name", parse_name, "name of this process, unique in the deployment"),
+    Setting("data-centre", parse_name, "data centre this process runs in"),
+    Setting("region", parse_name, "region this process runs in", "default"),
+    Setting("log-format", parse_choice("json", "text"), "form of the log lines", "json"),
+    Setting("statsd", parse_addresses, "statsd daemon as IP:PORT; none if empty", ""),
+)
+
+
+def build_parser(program: str, about: str, settings: Sequence[Setting]) -> argparse.ArgumentParser:
+    """Returns a parser whose help names each flag and its environment variable."""
+    parser = argparse.ArgumentParser(prog=program, description=about)
+    parser.add_argument("--version", action="version", version=f"%(prog)s {__version__}")
+    for setting in settings:
+        default = "required" if setting.default is None else f"default: {setting.default!r}"
+        parser.add_argument(
+            f"--{setting.name}",
+            metavar="VALUE",
+            help=f"{setting.help} ({default}; {setting.variable})",
+        )
+    return parser
+
+
+def read(
+    parser: argparse.ArgumentParser, settings: Sequence[Setting], arguments: Sequence[str]
+) -> argparse.Namespace:
+    """Reads all settings, and names every bad one at once.
+
+    :raises SettingsError: if any setting is missing or malformed.
+    """
+    given = parser.parse_args(arguments)
+    values = argparse.Namespace()
+    faults = []
+    for setting in settings:
+        text = getattr(given, setting.attribute)
+        if text is None:
+            text = os.environ.get(setting.variable, setting.default)
+        if text is None:
+            faults.append(f"--{setting.name} ({setting.variable}) is required")
+            continue
+        try:
+            setattr(values, setting.attribute, setting.parse(text))
+        except ValueError as error:
+            faults.append(f"--{setting.name} ({setting.variable}): {error}")
+    if faults:
+        raise SettingsError(faults)
+    return values
+
+
+def read_or_exit(
+    program: str, about: str, settings: Sequence[Setting], arguments: Sequence[str] | None
+) -> argparse.Namespace:
+    """Reads all settings; on a fault prints each on a line and exits with code 2."""
+    parser = build_parser(program, about, settings)
+    try:
+        return read(parser, settings, sys.argv[1:] if arguments is None else arguments)
+    except SettingsError as error:
+        for fault in error.faults:
+            print(f"{program}: {fault}", file=sys.stderr)
+        raise SystemExit(EXIT_BAD_SETTINGS) from None
--- /dev/null
+++ b/verbenashore/shards.py
@@ -0,0 +1,87 @@
+"""The shards of the work ledger: which one a key belongs to, and sessions with all of them."""
+
+import asyncio
+from collections.abc import Callable
+
+from verbenashore import logs, machine, misc
+from verbenashore.client import GroupClient, Links
+from verbenashore.exceptions import BadRequestError, VerbenaError
+from verbenashore.logs import Event
+from verbenashore.messages import RenewSession, SessionRenewed
+from verbenashore.settings import Address
+from verbenashore.types import (
+    CONTROL_GROUP,
+    Clock,
+    GroupId,
+    IdempotencyKey,
+    JobId,
+    MemberName,
+    WorkspaceId,
+)
+
+RENEW_SECONDS = 0.5
+RENEW_DEADLINE = 2.0
+RELEASE_DEADLINE = 2.0
+
+
+class Shards:
+    """The clients of all shards.
+
+    :param count: how many shards there are; their groups are 1 to this number.
+    """
+
+    def __init__(
+        self, links: Links, ledgers: tuple[Address, ...], count: int, clock: Clock
+    ) -> None:
+        addresses = [str(address) for address in ledgers]
+        self.control = GroupClient(CONTROL_GROUP, links, addresses, clock)
+        self.by_group = {
+            GroupId(number): GroupClient(GroupId(number), links, addresses, clock)
+            for number in range(1, count + 1)
+        }
+
+    def for_key(self, workspace: WorkspaceId, key: IdempotencyKey) -> GroupClient:
+        """Returns the shard that a key belongs to."""
+        number = 1 + misc.quick_hash(f"{workspace}/{key}") % len(self.by_group)
+        return self.by_group[GroupId(number)]
+
+    def for_id(self, record_id: str) -> GroupClient:
+        """Returns the shard whose number stands in an id.
+
+        :raises BadRequestError: if none does.
+        """
+        number = record_id.rpartition("-")[2].partition(".")[0]
+        if not number.isdigit() or GroupId(int(number)) not in self.by_group:
+            raise BadRequestError(
+                f"{record_id!r} is no id of this system", step="route", field="id", not_run=True
+            )
+        return self.by_group[GroupId(int(number))]
+
+    def new_id(self, prefix: str, group: GroupId) -> str:
+        """Returns a new id that tells its shard, as ``PREFIX-SHARD.RANDOM``."""
+        return misc.random_id(f"{prefix}-{group}.").replace(".-", ".")
+
+    async def release(self, holder: MemberName) -> None:
+        """Ends the sessions of a process that stops."""
+        clients = [self.control, *self.by_group.values()]
+        command = machine.ReleaseHolder(holder)
+        releases = [client.propose(command, RELEASE_DEADLINE) for client in clients]
+        await asyncio.gather(*releases, return_exceptions=True)
+
+
+async def keep_session(
+    client: GroupClient,
+    holder: MemberName,
+    held_jobs: Callable[[], list[JobId]],
+    on_renewed: Callable[[SessionRenewed], None],
+) -> None:
+    """Keeps the session of a process with one shard until it is cancelled."""
+    while True:
+        try:
+            ask = RenewSession(client.group, holder, held_jobs())
+            answer = await client.ask(ask, RENEW_DEADLINE)
+            if isinstance(answer, SessionRenewed):
+                on_renewed(answer)
+        except VerbenaError as error:
+            logs.warning(Event.REQUEST_FAILED, step="renew", error=error.message)
+        await asyncio.sleep(RENEW_SECONDS)
--- /dev/null
+++ b/verbenashore/streams.py
@@ -0,0 +1,301 @@
+"""Runs one online generation: places it, moves it when it stalls, joins its parts."""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import msgspec
+
+from verbenashore import limits, logs, misc, placement
+from verbenashore.client import Links
+from verbenashore.completions import ModelCall
+from verbenashore.deployment import OnlinePolicy
+from verbenashore.exceptions import (
+    BackendError,
+    BackendRefusedError,
+    OverloadedError,
+    UnavailableError,
+    VerbenaError,
+)
+from verbenashore.limits import RetryBudget
+from verbenashore.logs import Event
+from verbenashore.messages import RunModel, TokenChunk
+from verbenashore.placement import Placement, Target
+from verbenashore.types import Clock, MemberName, RecordId, WorkspaceId
+
+PREFIX_CHARACTERS = 1024
+MAX_REFUSALS = 4
+MAX_FAILURES = 3
+#: A stream whose next token takes this many times the usual interval is also tried elsewhere.
+HEDGE_INTERVALS = 8.0
+HEDGE_FLOOR_SECONDS = 0.15
+#: The first token is waited for this share of the wanted time before a hedge.
+HEDGE_FIRST_SHARE = 0.5
+#: How much of a new value goes into a running mean.
+MEAN_WEIGHT = 0.05
+
+
+class Pace(msgspec.Struct):
+    """What this entry usually sees, over all agents.
+
+    :param first: seconds to the first token.
+    :param interval: seconds between two chunks.
+    """
+
+    first: float = 0.5
+    interval: float = 0.05
+
+
+class Ended(msgspec.Struct):
+    """An attempt that failed."""
+
+    error: VerbenaError
+
+
+class Attempt(msgspec.Struct):
+    """One agent's try at a generation.
+
+    :param base: tokens that were there when it began.
+    """
+
+    number: int
+    target: Target
+    base: int
+    position: int = 0
+    task: asyncio.Task[None] | None = None
+
+
+class StreamRunner:
+    """What all streams of one entry share."""
+
+    def __init__(self, links: Links, targets: Placement, clock: Clock) -> None:
+        self._links = links
+        self._placement = targets
+        self._clock = clock
+        self.budget = RetryBudget()
+        self.pace = Pace()
+        self.count: Callable[[str], None] = lambda name: None
+
+    def run(
+        self,
+        record: RecordId,
+        workspace: WorkspaceId,
+        service: str,
+        call: ModelCall,
+        policy: OnlinePolicy,
+    ) -> AsyncIterator[TokenChunk]:
+        """Yields the parts of one answer, each token once and in order.
+
+        :raises OverloadedError: if every agent asked refused it; it was not run.
+        :raises UnavailableError: if it failed at several agents.
+        """
+        limits.earn(self.budget, policy.retry_share)
+        return _Stream(self, record, workspace, service, call, policy).parts()
+
+    def choose(self, service: str, call: ModelCall, excluded: set[MemberName]) -> Target | None:
+        """Chooses an agent for a call."""
+        prefix = call.prompt[:PREFIX_CHARACTERS]
+        return placement.choose(
+            self._placement, service, call.model, prefix, excluded, self._clock()
+        )
+
+    @property
+    def clock(self) -> Clock:
+        """The clock of the process."""
+        return self._clock
+
+    @property
+    def links(self) -> Links:
+        """The links of the process."""
+        return self._links
+
+
+class _Stream:
+    """One generation; several attempts at it may run side by side for a moment."""
+
+    def __init__(
+        self,
+        runner: StreamRunner,
+        record: RecordId,
+        workspace: WorkspaceId,
+        service: str,
+        call: ModelCall,
+        policy: OnlinePolicy,
+    ) -> None:
+        self._runner = runner
+        self._record = record
+        self._workspace = workspace
+        self._service = service
+        self._call = call
+        self._policy = policy
+        self._text = ""
+        self._tokens = 0
+        self._numbers = itertools.count()
+        self._inbox: asyncio.Queue[tuple[Attempt, TokenChunk | Ended]] = asyncio.Queue()
+        self._attempts: dict[int, Attempt] = {}
+        self._excluded: set[MemberName] = set()
+        self._refusals = 0
+        self._failures = 0
+        self._hedged = False
+        self._started = runner.clock()
+        self._last_part = self._started
+
+    async def parts(self) -> AsyncIterator[TokenChunk]:
+        deadline = self._started + self._policy.deadline_seconds
+        try:
+            self._launch_or_fail(None)
+            finished = False
+            while not finished:
+                attempt, item = await self._next(deadline)
+                if attempt.number not in self._attempts:
+                    continue
+                if isinstance(item, Ended):
+                    self._on_end(attempt, item.error)
+                    continue
+                finished = bool(item.finish)
+                if self._take(attempt, item):
+                    yield item
+        finally:
+            await self._cancel(list(self._attempts.values()))
+
+    async def _next(self, deadline: float) -> tuple[Attempt, TokenChunk | Ended]:
+        """Waits for the next part; when it is late, also tries another agent."""
+        patience = self._patience()
+        left = deadline - self._runner.clock()
+        late = BackendError("the deadline has passed", step="stream")
+        if patience is not None and patience < left:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(patience):
+                    return await self._inbox.get()
+            self._hedge()
+        return await misc.within(max(0.0, deadline - self._runner.clock()), self._inbox.get(), late)
+
+    def _patience(self) -> float | None:
+        if not self._policy.hedge or self._hedged or len(self._attempts) != 1:
+            return None
+        waited = self._runner.clock() - self._last_part
+        pace = self._runner.pace
+        if self._tokens:
+            limit = max(HEDGE_FLOOR_SECONDS, HEDGE_INTERVALS * pace.interval)
+        else:
+            limit = max(
+                HEDGE_FLOOR_SECONDS,
+                min(self._policy.first_token_seconds * HEDGE_FIRST_SHARE, 4 * pace.first),
+            )
+        return max(0.0, limit - waited)
+
+    def _hedge(self) -> None:
+        self._hedged = True
+        running = next(iter(self._attempts.values()))
+        placement.note_slow(running.target, self._runner.clock())
+        excluded = self._excluded | {running.target.name}
+        target = self._runner.choose(self._service, self._call, excluded)
+        usable = target is not None and target.avoid_until <= self._runner.clock()
+        if usable and target is not None and limits.spend(self._runner.budget):
+            self._runner.count("hedges")
+            self._launch(target)
+
+    def _launch_or_fail(self, error: VerbenaError | None) -> None:
+        target = self._runner.choose(self._service, self._call, self._excluded)
+        if target is not None:
+            self._launch(target)
+        elif not self._attempts:
+            if error is not None:
+                raise error
+            raise OverloadedError("no agent serves this model now", step="place", retry_after=1.0)
+
+    def _launch(self, target: Target) -> None:
+        attempt = Attempt(next(self._numbers), target, self._tokens)
+        self._attempts[attempt.number] = attempt
+        placement.note_start(target)
+        attempt.task = asyncio.create_task(self._pump(attempt))
+
+    async def _pump(self, attempt: Attempt) -> None:
+        """Feeds the parts of one attempt into the inbox."""
+        call = RunModel(
+            self._record,
+            self._workspace,
+            self._call.path,
+            self._call.model,
+            self._call.body,
+            self._call.prompt_tokens,
+            self._call.max_tokens,
+            self._text,
+            self._tokens,
+            self._policy.deadline_seconds,
+        )
+        link = self._runner.links.to(attempt.target.address)
+        try:
+            answers: Any = link.stream(call, self._progress_seconds())
+            async with contextlib.aclosing(answers):
+                async for part in answers:
+                    self._inbox.put_nowait((attempt, part))
+        except VerbenaError as error:
+            self._inbox.put_nowait((attempt, Ended(error)))
+        finally:
+            placement.note_end(attempt.target)
+
+    def _progress_seconds(self) -> float:
+        return self._policy.deadline_seconds
+
+    def _take(self, attempt: Attempt, part: TokenChunk) -> bool:
+        """Takes in a part; false if it repeats what came from another attempt."""
+        now = self._runner.clock()
+        placement.note_report(attempt.target, part.load, now)
+        if part.position != attempt.position:
+            self._on_end(attempt, BackendError("a part was lost", step="stream"))
+            return False
+        attempt.position += part.tokens
+        if len(self._attempts) > 1:
+            losers = [other for other in self._attempts.values() if other is not attempt]
+            for loser in losers:
+                self._discard(loser)
+        self._note_pace(part, now)
+        self._text += part.text
+        self._tokens += part.tokens
+        self._last_part = now
+        self._hedged = False
+        return True
+
+    def _note_pace(self, part: TokenChunk, now: float) -> None:
+        pace = self._runner.pace
+        waited = now - self._last_part
+        if self._tokens:
+            pace.interval += MEAN_WEIGHT * (min(waited, 4 * pace.interval) - pace.interval)
+        else:
+            pace.first += MEAN_WEIGHT * (min(waited, 4 * pace.first) - pace.first)
+
+    def _discard(self, attempt: Attempt) -> None:
+        del self._attempts[attempt.number]
+        if attempt.task is not None:
+            attempt.task.cancel()
+
+    def _on_end(self, attempt: Attempt, error: VerbenaError) -> None:
+        """Deals with a failed attempt: goes on elsewhere while that is worthwhile."""
+        self._discard(attempt)
+        if isinstance(error, BackendRefusedError):
+            raise error
+        self._excluded.add(attempt.target.name)
+        refused = isinstance(error, OverloadedError)
+        self._refusals += refused
+        self._failures += not refused
+        if not refused:
+            placement.note_slow(attempt.target, self._runner.clock())
+            logs.info(Event.REQUEST_RETRIED, peer=attempt.target.name, error=error.message)
+            self._runner.count("retries")
+        if self._attempts:
+            return
+        if self._refusals >= MAX_REFUSALS:
+            raise error
+        if self._failures >= MAX_FAILURES or (
+            not refused and not limits.spend(self._runner.budget)
+        ):
+            raise UnavailableError(error.message, step="stream", peer=attempt.target.name)
+        self._launch_or_fail(error)
+
+    async def _cancel(self, attempts: list[Attempt]) -> None:
+        tasks = [attempt.task for attempt in attempts if attempt.task is not None]
+        self._attempts.clear()
+        await misc.cancel_and_wait(*tasks)
--- /dev/null
+++ b/verbenashore/view.py
@@ -0,0 +1,133 @@
+"""What a member knows of the system: the configuration in force and the live members."""
+
+import asyncio
+from collections.abc import Callable
+
+from verbenashore import deployment, logs
+from verbenashore.client import GroupClient
+from verbenashore.control import Change
+from verbenashore.deployment import Deployment
+from verbenashore.exceptions import DeploymentError, VerbenaError
+from verbenashore.logs import Event
+from verbenashore.messages import Heartbeat, HeartbeatReply, Member
+from verbenashore.process import Process
+from verbenashore.types import BackendName, MemberName, MemberRole, MemberState, Revision
+
+HEARTBEAT_SECONDS = 0.5
+HEARTBEAT_DEADLINE = 2.0
+
+
+class SystemView:
+    """Keeps a process's knowledge fresh by heartbeats; it never goes back to an older revision.
+
+    :param confirmed_at: when the newest answered heartbeat was sent, on the process's clock.
+    """
+
+    def __init__(
+        self,
+        running: Process,
+        control: GroupClient,
+        role: MemberRole,
+        address: str,
+        backend: BackendName,
+    ) -> None:
+        self._process = running
+        self._control = control
+        self._role = role
+        self._address = address
+        self._backend = backend
+        self._members_version = -1
+        self._wake = asyncio.Event()
+        self.state = MemberState.SERVING
+        self.confirmed_at = float("-inf")
+        self.change: Change | None = None
+        self.deployment = Deployment()
+        self.members: dict[MemberName, Member] = {}
+        self.on_change: list[Callable[[], None]] = []
+
+    @property
+    def revision(self) -> Revision:
+        """The configuration in force here."""
+        return self.change.revision if self.change is not None else Revision(0)
+
+    @property
+    def drained(self) -> bool:
+        """True if operators have drained this process."""
+        return self.change is not None and self._process.name in self.change.drained
+
+    def set_state(self, state: MemberState) -> None:
+        """Changes what this member says of itself, and says it at once."""
+        self.state = state
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Sends heartbeats until it is cancelled."""
+        while True:
+            try:
+                await self.beat()
+            except VerbenaError as error:
+                logs.warning(Event.REQUEST_FAILED, step="heartbeat", error=error.message)
+            try:
+                async with asyncio.timeout(HEARTBEAT_SECONDS):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+            self._wake.clear()
+
+    async def beat(self) -> None:
+        """Sends one heartbeat and takes in its answer."""
+        sent_at = self._process.clock()
+        heartbeat = Heartbeat(self._member(), self._members_version)
+        reply = await self._control.ask(heartbeat, HEARTBEAT_DEADLINE)
+        if not isinstance(reply, HeartbeatReply):
+            raise VerbenaError("unexpected answer", step="heartbeat")
+        self.confirmed_at = sent_at
+        if reply.change is not None:
+            self._install(reply.change)
+        if reply.members is not None:
+            self._take_members(reply)
+
+    def _member(self) -> Member:
+        settings = self._process.settings
+        return Member(
+            self._process.name,
+            self._process.incarnation,
+            self._role,
+            self._address,
+            settings.data_centre,
+            settings.region,
+            self.state,
+            self.revision,
+            self._backend,
+        )
+
+    def _install(self, change: Change) -> None:
+        if change.revision <= self.revision:
+            return
+        try:
+            parsed = deployment.parse(change.text)
+        except DeploymentError as error:
+            logs.warning(Event.CONFIGURATION_REFUSED, revision=change.revision, error=str(error))
+            return
+        self.change = change
+        self.deployment = parsed
+        self._process.revision = change.revision
+        logs.info(Event.CONFIGURATION_INSTALLED, revision=change.revision, change=change.change)
+        # The next heartbeat tells at once that it is in force here.
+        self._wake.set()
+        self._tell()
+
+    def _take_members(self, reply: HeartbeatReply) -> None:
+        """Takes in the list of members; an incomplete one removes nobody."""
+        assert reply.members is not None
+        heard = {member.name: member for member in reply.members}
+        if reply.complete:
+            self.members = heard
+            self._members_version = reply.members_version
+        else:
+            self.members = self.members | heard
+        self._tell()
+
+    def _tell(self) -> None:
+        for tell in self.on_change:
+            tell()
