--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 SOURCES := verbenashore standins lab tests spec
 
-.PHONY: demo test format lint unit spec spec-mutants soak measure capacity known-red clean
+.PHONY: demo test format lint unit spec spec-mutants mutants soak measure capacity known-red clean
 
 $(VENV)/stamp: requirements/run.txt requirements/dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -40,6 +40,9 @@
 spec-mutants: $(VENV)/stamp
 	$(BIN)/python spec/check.py --mutants
 
+mutants: $(VENV)/stamp
+	$(BIN)/python -m lab.mutants
+
 measure: $(VENV)/stamp
 	$(BIN)/python -m lab.measure
 
--- /dev/null
+++ b/lab/mutants.py
@@ -0,0 +1,223 @@
+"""Shows that the tests can fail: breaks the shipped code in one place and expects a red test."""
+
+import concurrent.futures
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+TEST_SECONDS = 300
+WORKERS = 3
+
+
+@dataclass(frozen=True)
+class Mutant:
+    """One fault to plant.
+
+    :param file: the module of the package.
+    :param old: the code to replace; it must stand there once.
+    :param test: the tests that must notice.
+    """
+
+    name: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+CONSENSUS = "tests/test_consensus.py"
+MACHINE = "tests/test_machine.py"
+STORAGE = "tests/test_storage.py"
+
+MUTANTS = (
+    Mutant(
+        "votes twice in a term",
+        "consensus.py",
+        "free = replica.hard.vote in (NOBODY, sender)",
+        "free = True",
+        CONSENSUS,
+    ),
+    Mutant(
+        "forgets its vote's shelter at a restart",
+        "consensus.py",
+        "replica.heard_leader = now\n    _recall",
+        "replica.heard_leader = -1e9\n    _recall",
+        CONSENSUS,
+    ),
+    Mutant(
+        "lease longer than the shelter",
+        "consensus.py",
+        "lease: float = 0.3",
+        "lease: float = 3.0",
+        CONSENSUS,
+    ),
+    Mutant(
+        "answers under its old id",
+        "consensus.py",
+        "if packet.to != replica.id:",
+        "if False:",
+        CONSENSUS,
+    ),
+    Mutant(
+        "keeps a conflicting entry",
+        "consensus.py",
+        "if known is not None and known != entry.term:",
+        "if False:",
+        CONSENSUS,
+    ),
+    Mutant(
+        "serves before its first entry is applied",
+        "consensus.py",
+        "and replica.handed_out >= replica.first_index",
+        "",
+        CONSENSUS,
+    ),
+    Mutant(
+        "commits with half the voters",
+        "consensus.py",
+        "index = matches[quorum(replica) - 1]",
+        "index = matches[quorum(replica) - 2]",
+        CONSENSUS,
+    ),
+    Mutant(
+        "never replaces a lost voter",
+        "consensus.py",
+        "return now - last > replica.timing.replace_after",
+        "return False",
+        CONSENSUS,
+    ),
+    Mutant(
+        "starts a request twice",
+        "requests.py",
+        "if record.state is RequestState.ACCEPTED:\n        record.state = RequestState.STARTED",
+        "if True:\n        record.state = RequestState.STARTED",
+        MACHINE,
+    ),
+    Mutant(
+        "the last answer wins",
+        "requests.py",
+        "if record.state in (RequestState.COMPLETED, RequestState.NOT_RUN):",
+        "if record.state in (RequestState.NOT_RUN,):",
+        MACHINE,
+    ),
+    Mutant(
+        "retries what was started",
+        "requests.py",
+        "if record.state is RequestState.STARTED:\n            _end",
+        "if False:\n            _end",
+        MACHINE,
+    ),
+    Mutant(
+        "ends an item twice",
+        "jobs.py",
+        "if item.state in _ENDED_ITEM:\n        book.late += 1",
+        "if False:\n        book.late += 1",
+        MACHINE,
+    ),
+    Mutant(
+        "retries an item for ever",
+        "jobs.py",
+        "if item.attempt < MAX_ATTEMPTS:",
+        "if True:",
+        MACHINE,
+    ),
+    Mutant(
+        "leases again after a cancel",
+        "jobs.py",
+        "job.waiting_by_model.clear()",
+        "pass",
+        MACHINE,
+    ),
+    Mutant(
+        "forgets a lease's answer",
+        "jobs.py",
+        "if before is not None and before.request == command.request:",
+        "if False:",
+        MACHINE,
+    ),
+    Mutant(
+        "applies a resent change again",
+        "control.py",
+        "if before is not None:",
+        "if False:",
+        MACHINE,
+    ),
+    Mutant(
+        "lowers a fencing number",
+        "control.py",
+        "FencingNumber(index)",
+        "FencingNumber(1)",
+        MACHINE,
+    ),
+    Mutant(
+        "takes damage for a torn tail",
+        "storage.py",
+        "if later >= 0 or not is_last:",
+        "if False:",
+        STORAGE,
+    ),
+    Mutant(
+        "keeps the id of an emptied disk",
+        "storage.py",
+        'ReplicaId(random_id("replica"))',
+        'ReplicaId("replica")',
+        STORAGE,
+    ),
+    Mutant(
+        "keeps stale entries after a snapshot",
+        "storage.py",
+        "if at_base is not None and at_base.term != base.term:",
+        "if False:",
+        STORAGE,
+    ),
+)
+
+
+def check_places() -> None:
+    """Checks that each fault has one place to be planted.
+
+    :raises ValueError: naming the first that has not.
+    """
+    for mutant in MUTANTS:
+        found = (ROOT / "verbenashore" / mutant.file).read_text().count(mutant.old)
+        if found != 1:
+            raise ValueError(f"{mutant.name}: its code stands {found} times")
+
+
+def is_noticed(mutant: Mutant) -> bool:
+    """Plants a fault in a copy and tells whether the tests turn red."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder) / "copy"
+        ignored = shutil.ignore_patterns(".git", ".venv", "*.egg-info", "__pycache__")
+        shutil.copytree(ROOT, copy, ignore=ignored)
+        module = copy / "verbenashore" / mutant.file
+        text = module.read_text()
+        module.write_text(text.replace(mutant.old, mutant.new))
+        done = subprocess.run(
+            [sys.executable, "-m", "pytest", "-x", mutant.test],
+            cwd=copy,
+            capture_output=True,
+            timeout=TEST_SECONDS,
+            env={**os.environ, "PYTHONPATH": str(copy)},
+            check=False,
+        )
+        return done.returncode == 1
+
+
+def main() -> int:
+    """Tries every mutant; returns 0 if all were noticed."""
+    check_places()
+    with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
+        verdicts = list(pool.map(is_noticed, MUTANTS))
+    for mutant, noticed in zip(MUTANTS, verdicts, strict=True):
+        print(f"{'noticed' if noticed else 'MISSED':<10}{mutant.file:<16}{mutant.name}")
+    return 0 if all(verdicts) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/spec/ledger.pml
@@ -0,0 +1,120 @@
+/* The work ledger: one request that may not be repeated, one batch item, two workers.
+ *
+ * The ledger itself is one replicated state; each command is one step. Commands, their answers and
+ * calls to the backend server may be lost, late and doubled; workers may stop at any moment and
+ * their sessions may be ended while they still run.
+ * Checked: the request runs at most once, what was said not to have run never runs, an answer that
+ * was committed never changes, a cancelled item is not leased again.
+ */
+
+mtype = { none, accepted, started, completed, not_run, unknown };
+mtype = { waiting, leased, item_done, item_failed, item_cancelled };
+
+#define WORKERS 2
+#ifndef ATTEMPTS
+#define ATTEMPTS 3
+#endif
+
+/* The ledger. */
+mtype request = none;
+byte claim = 0;        /* who may run it, plus one */
+byte answer = 0;       /* whose answer was committed, plus one */
+mtype item = waiting;
+byte item_holder = 0;
+byte attempt = 0;
+byte item_answer = 0;
+byte item_ends = 0;
+bool cancelled = false;
+
+/* The backend server. */
+byte runs = 0;
+bool told_not_run = false;
+
+proctype Worker(byte id) {
+  byte my_attempt;
+  bool may_run;
+  do
+  /* The request: claim, run, commit. Any of the steps may never come. */
+  :: atomic { request == accepted -> request = started; claim = id + 1; may_run = true }
+#ifdef MUTANT_RUNS_UNCLAIMED
+  :: atomic { request == started && !may_run && claim != id + 1 -> may_run = true }
+#endif
+  :: atomic { may_run -> may_run = false; runs++; assert(runs <= 1); assert(!told_not_run) };
+     if
+     :: atomic { request == started ->
+          assert(answer == 0); request = completed; answer = id + 1 }
+     :: atomic { request == unknown -> request = completed; answer = id + 1 }
+#ifdef MUTANT_LAST_ANSWER_WINS
+     :: atomic { request == completed -> assert(answer == 0); answer = id + 1 }
+#endif
+     :: skip /* stopped, or the commit never came */
+     fi
+  /* Nothing was sent after all: the claim's owner proves that it was not run. */
+  :: atomic { may_run && request == started && claim == id + 1 ->
+       may_run = false; request = not_run; told_not_run = true }
+  /* A stopped worker. */
+  :: atomic { may_run -> may_run = false }
+  /* The item: lease, run, commit. */
+  :: atomic { item == waiting && attempt < ATTEMPTS ->
+       assert(!cancelled); item = leased; item_holder = id; attempt++; my_attempt = attempt };
+     if
+     :: atomic { item == waiting || item == leased ->
+#ifdef MUTANT_COUNTS_TWICE
+          item_ends++;
+#endif
+          item_ends++; assert(item_ends <= 1); item = item_done; item_answer = id + 1 }
+     :: atomic { item == leased && attempt == my_attempt ->
+          if
+          :: attempt < ATTEMPTS -> item = waiting
+          :: else -> item_ends++; assert(item_ends <= 1); item = item_failed
+          fi }
+     :: skip
+     fi
+  od
+}
+
+/* Ends sessions, whoever still runs. */
+proctype Sweeper() {
+  do
+  :: atomic { request == started ->
+#ifdef MUTANT_RETRIES_STARTED
+       request = accepted
+#else
+       request = unknown
+#endif
+     }
+  :: atomic { item == leased ->
+       if
+       :: attempt < ATTEMPTS -> item = waiting
+       :: else -> item_ends++; assert(item_ends <= 1); item = item_failed
+       fi }
+  od
+}
+
+/* The caller and its entry. */
+proctype Caller() {
+  do
+  :: atomic { request == none -> request = accepted }
+  /* A resent request attaches; one that was not run starts anew. */
+  :: atomic { request == not_run -> request = accepted; told_not_run = false }
+  /* The entry gives up: only what was never started becomes a refusal. */
+  :: atomic { request == accepted -> request = not_run; told_not_run = true }
+#ifdef MUTANT_REFUSES_STARTED
+  :: atomic { request == started -> request = not_run; told_not_run = true }
+#endif
+  :: atomic { !cancelled ->
+       cancelled = true;
+       if
+       :: item == waiting || item == leased -> item = item_cancelled; item_ends++
+       :: else
+       fi;
+       assert(item_ends <= 1) }
+#ifdef MUTANT_CANCEL_FORGETS
+  :: atomic { cancelled && item == item_cancelled -> item = waiting }
+#endif
+  od
+}
+
+init {
+  atomic { run Worker(0); run Worker(1); run Sweeper(); run Caller() }
+}
--- /dev/null
+++ b/tests/test_consensus.py
@@ -0,0 +1,234 @@
+"""The replicated log: agreement, leases and membership under losses of every kind."""
+
+import os
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from tests.group import Group
+from verbenashore import consensus
+from verbenashore.consensus import (
+    Base,
+    HardState,
+    Packet,
+    Role,
+    VoteReply,
+    VoteRequest,
+)
+
+EXAMPLES = 1000 if os.environ.get("VERBENA_SOAK") else 40
+NAMES = st.sampled_from(["n0", "n1", "n2", "n3"])
+
+
+class LossyGroup(RuleBasedStateMachine):
+    """Any mix of losses, with the promises checked after each step."""
+
+    def __init__(self):
+        super().__init__()
+        self.group = Group(size=3, spares=1)
+        self.group.run(2.0)
+        self.proposed = 0
+
+    @rule(seconds=st.sampled_from([0.02, 0.3, 1.0, 3.0]))
+    def time_passes(self, seconds):
+        self.group.run(seconds)
+
+    @rule(count=st.integers(1, 5))
+    def a_client_proposes(self, count):
+        for _ in range(count):
+            self.proposed += 1
+            self.group.propose(b"%d" % self.proposed)
+
+    @rule(name=NAMES)
+    def a_replica_crashes(self, name):
+        self.group.crash(name)
+
+    @rule(name=NAMES)
+    def a_replica_crashes_before_its_sync(self, name):
+        if name in self.group.replicas:
+            self.group.carry_out(name, crash_before_sync=True)
+
+    @rule(name=NAMES)
+    def a_replica_restarts(self, name):
+        self.group.restart(name)
+
+    @rule(name=NAMES)
+    def a_disk_is_emptied(self, name):
+        # Emptied disks of a majority at once are more than any group bears.
+        group = self.group
+        for server in group.servers():
+            voters = consensus.membership(group.replicas[server]).voters
+            alive = {group.replicas[other].id for other in group.running()}
+            if len(voters) == group.size and {peer.id for peer in voters} <= alive:
+                group.start_new(name)
+
+    @rule(name=NAMES)
+    def a_replica_freezes(self, name):
+        self.group.frozen.add(name)
+
+    @rule()
+    def all_thaw(self):
+        self.group.frozen.clear()
+
+    @rule(names=st.sets(NAMES, max_size=2))
+    def the_network_parts(self, names):
+        self.group.cut = names
+
+    @rule()
+    def the_network_heals(self):
+        self.group.cut = set()
+
+    @rule(loss=st.sampled_from([0.0, 0.1, 0.4]))
+    def packets_are_lost(self, loss):
+        self.group.loss = loss
+
+    @rule(name=NAMES)
+    def packets_come_twice(self, name):
+        self.group.packets += self.group.packets[:20]
+
+    @rule(name=NAMES)
+    def a_log_is_compacted(self, name):
+        if name in self.group.replicas:
+            self.group.compact(name)
+
+    @rule(name=NAMES)
+    def a_leader_hands_over(self, name):
+        if name in self.group.replicas:
+            consensus.hand_over(self.group.replicas[name], self.group.now)
+
+    @invariant()
+    def promises_hold(self):
+        self.group.check()
+
+    def teardown(self):
+        """Whatever happened, a healed group commits again."""
+        group = self.group
+        group.cut, group.loss, group.frozen = set(), 0.0, set()
+        for name in group.disks:
+            if name not in group.replicas:
+                group.restart(name)
+        group.run(8.0)
+        group.propose(b"last")
+        group.run(1.0)
+        assert b"last" in group.commands()
+
+
+def test_any_mix_of_losses_keeps_the_promises():
+    run_state_machine_as_test(
+        LossyGroup,
+        settings=settings(
+            max_examples=EXAMPLES,
+            stateful_step_count=40,
+            derandomize=True,
+            deadline=None,
+            database=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+def test_a_new_leader_serves_within_a_second_of_the_old_ones_death():
+    group = Group()
+    group.run(2.0)
+    (leader,) = group.servers()
+    group.crash(leader)
+    group.run(1.0)
+    assert group.servers()
+
+
+def test_a_leader_that_is_cut_off_stops_serving_before_another_starts():
+    group = Group()
+    group.run(2.0)
+    (old,) = group.servers()
+    group.cut = {old}
+    group.run(0.36)
+    assert old not in group.servers()
+    group.run(2.0)
+    assert group.servers() and old not in group.servers()
+
+
+def test_a_frozen_leader_does_not_serve_when_it_thaws():
+    group = Group()
+    group.run(2.0)
+    (old,) = group.servers()
+    group.frozen.add(old)
+    group.run(2.0)
+    group.frozen.clear()
+    assert old not in group.servers()
+
+
+def test_an_emptied_disk_comes_back_as_a_learner_and_is_replaced_as_a_voter():
+    group = Group()
+    group.run(2.0)
+    for number in range(20):
+        group.propose(b"%d" % number)
+    group.run(0.5)
+    (leader,) = group.servers()
+    victim = next(name for name in sorted(group.replicas) if name != leader)
+    old_id = group.replicas[victim].id
+    group.start_new(victim)
+    group.run(6.0)
+    known = consensus.membership(group.replicas[group.servers()[0]])
+    assert len(known.voters) == 3
+    assert old_id not in {peer.id for peer in known.voters}
+    assert group.replicas[victim].id in {peer.id for peer in known.voters}
+
+
+def test_a_second_loss_right_after_the_repair_is_survived():
+    group = Group(spares=1)
+    group.run(2.0)
+    group.propose(b"kept")
+    group.run(0.5)
+    group.crash(group.servers()[0])
+    group.run(8.0)
+    group.crash(group.servers()[0])
+    group.run(3.0)
+    group.propose(b"after")
+    group.run(1.0)
+    assert group.commands() == [b"kept", b"after"]
+
+
+def test_a_replica_behind_a_snapshot_catches_up():
+    group = Group()
+    group.run(2.0)
+    (leader,) = group.servers()
+    late = next(name for name in sorted(group.replicas) if name != leader)
+    group.crash(late)
+    for number in range(300):
+        group.propose(b"%d" % number)
+    group.run(0.5)
+    for name in group.running():
+        group.compact(name)
+    group.restart(late)
+    group.run(2.0)
+    assert group.replicas[late].commit >= 300
+
+
+def vote(request, *, replica_id="a", now=10.0):
+    """Returns the answer of a replica that has just started, after its shelter has ended."""
+    hard = HardState(5, "")
+    replica = consensus.new_replica(replica_id, consensus.Timing(), 1, hard, Base(), [], 0.0)
+    consensus.receive(replica, Packet("b", "a", request), now)
+    output = consensus.take_output(replica)
+    return [p.message for p in output.packets if isinstance(p.message, VoteReply)]
+
+
+def test_a_vote_for_another_id_is_not_given():
+    assert vote(VoteRequest(9, 0, 0, False, False), replica_id="a2") == []
+
+
+def test_a_restarted_replica_grants_no_vote_while_a_lease_may_last():
+    request = VoteRequest(9, 0, 0, False, False)
+    assert not vote(request, now=0.1)[0].granted
+    assert vote(request, now=10.0)[0].granted
+
+
+def test_a_replica_votes_once_in_a_term():
+    replica = consensus.new_replica("a", consensus.Timing(), 1, HardState(), Base(), [], 0.0)
+    for sender in ("b", "c"):
+        request = VoteRequest(3, 0, 0, False, False)
+        consensus.receive(replica, Packet(sender, "a", request), 10.0)
+    replies = [packet.message.granted for packet in consensus.take_output(replica).packets]
+    assert replies == [True, False]
+    assert replica.role is Role.FOLLOWER
--- /dev/null
+++ b/tests/test_machine.py
@@ -0,0 +1,362 @@
+"""The work ledger and the control state: every promise about records, items and changes."""
+
+import os
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from verbenashore import control, jobs, machine, requests
+from verbenashore.machine import GroupState
+from verbenashore.types import GroupId, ItemState, JobState, RequestState
+
+EXAMPLES = 1000 if os.environ.get("VERBENA_SOAK") else 60
+HOLDERS = st.sampled_from(["a", "b", "c"])
+KEYS = st.sampled_from(["k1", "k2"])
+ITEMS = 6
+
+
+class Ledger:
+    """A group's state, with its commands in short."""
+
+    def __init__(self):
+        self.state = GroupState(GroupId(1))
+        self.index = 0
+        self.time = 0.0
+        self.names = 0
+
+    def do(self, command):
+        """Commits a command and returns its result."""
+        self.index += 1
+        data = machine.encode(command, self.time)
+        return machine.apply(self.state, self.index, data)
+
+    def name(self, prefix):
+        """Returns a new id."""
+        self.names += 1
+        return f"{prefix}{self.names}"
+
+    def accept(self, key="k1", holder="a", digest="d", repeatable=True, record=None):
+        """Accepts a request."""
+        record = record or self.name("r")
+        return self.do(requests.AcceptRequest(record, "w", key, digest, holder, repeatable, 100.0))
+
+    def create(self, key="k1", holder="a", digest="d", window=50.0):
+        """Announces a job."""
+        return self.do(
+            jobs.CreateJob(
+                self.name("j"), "w", key, digest, holder, "/v1", "f", window, "", {}, 0, 100.0
+            )
+        )
+
+    def load(self, key="k1", count=ITEMS, window=50.0):
+        """Makes a running job."""
+        job = self.create(key, window=window).job
+        items = [jobs.NewItem(f"i{n}", "m", b"{}", 1) for n in range(count)]
+        self.do(jobs.AddItems(job, 0, items))
+        self.do(jobs.SealJob(job, count))
+        return job
+
+    def lease(self, holder="a", count=2, request=None):
+        """Leases items."""
+        return self.do(jobs.LeaseItems(request or self.name("l"), holder, ["m"], count)).items
+
+    def result(self, item, *, status=200, **options):
+        """Returns the result of a leased item."""
+        body = f"{item.position}".encode()
+        return jobs.ItemResult(item.job, item.position, item.attempt, status, body, **options)
+
+    def complete(self, item, holder="a", **options):
+        """Commits a result."""
+        return self.do(jobs.CompleteItems(holder, [self.result(item, **options)]))
+
+
+class AnyCommands(RuleBasedStateMachine):
+    """Commands in any order, doubled and late, from holders whose sessions may have ended."""
+
+    def __init__(self):
+        super().__init__()
+        self.ledger = Ledger()
+        self.runs = {}
+        self.claims = []
+        self.answers = {}
+        self.refused = {}
+        self.leased = []
+        self.outcome = {}
+        self.sealed = {}
+
+    def records(self):
+        return self.ledger.state.requests.by_id
+
+    @rule(key=KEYS, holder=HOLDERS, repeatable=st.booleans())
+    def accept(self, key, holder, repeatable):
+        self.ledger.accept(key + str(repeatable), holder, repeatable=repeatable)
+
+    @rule(holder=HOLDERS, choice=st.integers(0, 9), twice=st.booleans())
+    def claim_a_run(self, holder, choice, twice):
+        once = [r for r in self.records().values() if not r.repeatable]
+        if once:
+            record = once[choice % len(once)]
+            command = requests.StartRequest(record.id, holder, self.ledger.name("c"))
+            mine = [self.ledger.do(command).mine for _ in range(1 + twice)]
+            assert len(set(mine)) == 1, "a resent claim got another answer"
+            if mine[0]:
+                self.claims.append(command)
+
+    @rule(choice=st.integers(0, 9), answered=st.booleans())
+    def run_what_was_claimed(self, choice, answered):
+        if not self.claims:
+            return
+        command = self.claims.pop(choice % len(self.claims))
+        attempt = self.records()[command.record].attempt
+        run = (command.record, attempt)
+        self.runs[run] = self.runs.get(run, 0) + 1
+        assert self.runs[run] == 1, "ran twice"
+        assert run not in self.refused, "ran after a refusal"
+        if answered:
+            body = command.claim.encode()
+            self.ledger.do(requests.CompleteRequest(command.record, 200, "t", body))
+
+    @rule(choice=st.integers(0, 9))
+    def give_up(self, choice):
+        ids = list(self.records())
+        if ids:
+            record = self.records()[ids[choice % len(ids)]]
+            view = self.ledger.do(requests.AbandonRequest(record.id))
+            if view.state is RequestState.NOT_RUN and not record.repeatable:
+                self.refused[(record.id, record.attempt)] = True
+
+    @rule(choice=st.integers(0, 9))
+    def prove_that_a_claim_was_not_sent(self, choice):
+        if self.claims:
+            command = self.claims.pop(choice % len(self.claims))
+            self.ledger.do(requests.AbandonRequest(command.record, command.claim))
+
+    @rule(choice=st.integers(0, 9))
+    def complete_a_repeatable_request(self, choice):
+        ids = [r.id for r in self.records().values() if r.repeatable]
+        if ids:
+            command = requests.CompleteRequest(
+                ids[choice % len(ids)], 200, "t", self.ledger.name("a").encode()
+            )
+            self.ledger.do(command)
+
+    @rule(holder=HOLDERS)
+    def a_session_ends(self, holder):
+        self.ledger.do(machine.ExpireHolder(holder))
+
+    @rule(key=KEYS)
+    def submit_a_job(self, key):
+        view = self.ledger.create(key)
+        if view.fresh:
+            items = [jobs.NewItem(f"i{n}", "m", b"{}", 1) for n in range(ITEMS)]
+            for _ in range(2):
+                self.ledger.do(jobs.AddItems(view.job, 0, items))
+            self.ledger.do(jobs.SealJob(view.job, ITEMS))
+
+    @rule(holder=HOLDERS, count=st.integers(1, 4), twice=st.booleans())
+    def lease(self, holder, count, twice):
+        request = self.ledger.name("l")
+        first = self.ledger.lease(holder, count, request)
+        if twice:
+            assert self.ledger.lease(holder, count, request) == first
+        self.leased += [(holder, item) for item in first]
+
+    @rule(choice=st.integers(0, 99), how=st.sampled_from(["good", "bad", "retry", "returned"]))
+    def an_item_ends(self, choice, how):
+        if self.leased:
+            holder, item = self.leased[choice % len(self.leased)]
+            options = {"good": {}, "bad": {"status": 400}}.get(how, {how: True})
+            self.ledger.complete(item, holder, **options)
+
+    @rule(choice=st.integers(0, 9))
+    def cancel(self, choice):
+        ids = list(self.ledger.state.jobs.job_by_id)
+        if ids:
+            self.ledger.do(jobs.CancelJob(ids[choice % len(ids)], "w"))
+
+    @rule(seconds=st.sampled_from([1.0, 30.0]))
+    def time_passes(self, seconds):
+        self.ledger.time += seconds
+        self.ledger.do(machine.Advance())
+
+    @rule()
+    def a_snapshot_is_restored(self):
+        state = self.ledger.state
+        self.ledger.state = machine.restore(machine.snapshot(state), state.group)
+        assert self.ledger.state == state
+
+    @invariant()
+    def a_committed_answer_never_changes(self):
+        for record in self.records().values():
+            if record.answer is not None:
+                known = self.answers.setdefault((record.id, record.attempt), record.answer)
+                assert record.answer == known
+
+    @invariant()
+    def an_ended_item_never_changes(self):
+        for job in self.ledger.state.jobs.job_by_id.values():
+            for position, item in enumerate(job.items):
+                key = (job.announced.job, position)
+                assert item.attempt <= jobs.MAX_ATTEMPTS
+                if item.state not in (ItemState.WAITING, ItemState.LEASED):
+                    now = (item.state, item.status, item.result)
+                    assert self.outcome.setdefault(key, now) == now
+
+    @invariant()
+    def counts_agree_with_items(self):
+        for job in self.ledger.state.jobs.job_by_id.values():
+            states = [item.state for item in job.items]
+            assert job.completed == states.count(ItemState.COMPLETED)
+            assert job.failed == states.count(ItemState.FAILED)
+            waiting = sorted(p for queue in job.waiting_by_model.values() for p in queue)
+            if job.state is JobState.RUNNING:
+                assert waiting == [p for p, s in enumerate(states) if s is ItemState.WAITING]
+            elif job.state is not JobState.LOADING:
+                assert not waiting
+                assert ItemState.LEASED not in states and ItemState.WAITING not in states
+
+
+def test_any_order_of_commands_keeps_the_promises():
+    run_state_machine_as_test(
+        AnyCommands,
+        settings=settings(
+            max_examples=EXAMPLES,
+            stateful_step_count=60,
+            derandomize=True,
+            deadline=None,
+            database=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+def test_a_resent_request_attaches_and_another_body_is_a_conflict():
+    ledger = Ledger()
+    first = ledger.accept(key="k")
+    assert first.mine
+    again = ledger.accept(key="k", holder="b")
+    assert (again.record, again.mine, again.conflict) == (first.record, False, False)
+    assert ledger.accept(key="k", digest="other").conflict
+
+
+def test_an_acceptance_sent_twice_is_still_the_senders():
+    ledger = Ledger()
+    assert ledger.accept(key="k", record="r").mine
+    assert ledger.accept(key="k", record="r").mine
+
+
+def test_a_takeover_sent_twice_is_still_the_takers():
+    ledger = Ledger()
+    ledger.accept(key="k", holder="a")
+    ledger.do(machine.ExpireHolder("a"))
+    assert ledger.accept(key="k", holder="b", record="t").mine
+    assert ledger.accept(key="k", holder="b", record="t").mine
+
+
+def test_a_started_request_of_a_lost_holder_ends_as_unknown_and_may_become_known():
+    ledger = Ledger()
+    record = ledger.accept(repeatable=False).record
+    ledger.do(requests.StartRequest(record, "a", "c"))
+    ledger.do(machine.ExpireHolder("a"))
+    assert ledger.accept(repeatable=False).state is RequestState.OUTCOME_UNKNOWN
+    ledger.do(requests.CompleteRequest(record, 201, "t", b"late"))
+    assert ledger.accept(repeatable=False).answer.body == b"late"
+
+
+def test_an_abandoned_request_of_nobody_is_forgotten():
+    ledger = Ledger()
+    record = ledger.accept().record
+    ledger.do(machine.ExpireHolder("a"))
+    ledger.time = 200.0
+    ledger.do(machine.Advance())
+    assert record not in ledger.state.requests.by_id
+    assert not ledger.state.requests.open_ids
+
+
+def test_a_job_is_accepted_whole_or_not_at_all():
+    ledger = Ledger()
+    job = ledger.create().job
+    ledger.do(jobs.AddItems(job, 0, [jobs.NewItem("i", "m", b"{}", 1)]))
+    assert ledger.do(jobs.SealJob(job, 2)) is None
+    assert ledger.lease() == []
+    ledger.do(machine.ExpireHolder("a"))
+    assert not ledger.state.jobs.job_by_id
+    assert ledger.create().fresh
+
+
+def test_the_earliest_deadline_goes_first():
+    ledger = Ledger()
+    ledger.load("late", window=90.0)
+    early = ledger.load("early", window=10.0)
+    assert {item.job for item in ledger.lease(count=ITEMS)} == {early}
+
+
+def test_an_item_that_loses_every_worker_fails_after_its_attempts():
+    ledger = Ledger()
+    job = ledger.load(count=1)
+    for _ in range(jobs.MAX_ATTEMPTS):
+        assert len(ledger.lease("a")) == 1
+        ledger.do(machine.ExpireHolder("a"))
+    assert ledger.lease("a") == []
+    assert ledger.state.jobs.job_by_id[job].state is JobState.COMPLETED
+    assert ledger.state.jobs.job_by_id[job].failed == 1
+
+
+def test_an_item_handed_back_has_used_no_attempt():
+    ledger = Ledger()
+    ledger.load(count=1)
+    for _ in range(3 * jobs.MAX_ATTEMPTS):
+        (item,) = ledger.lease()
+        ledger.complete(item, returned=True)
+    assert ledger.lease()[0].attempt == 1
+
+
+def test_a_deadline_ends_what_is_left_and_keeps_what_is_done():
+    ledger = Ledger()
+    job = ledger.load(window=10.0)
+    ledger.complete(ledger.lease(count=1)[0])
+    ledger.time = 11.0
+    ledger.do(machine.Advance())
+    kept = ledger.state.jobs.job_by_id[job]
+    assert kept.state is JobState.EXPIRED
+    assert [item.state for item in kept.items].count(ItemState.COMPLETED) == 1
+    assert [item.state for item in kept.items].count(ItemState.EXPIRED) == ITEMS - 1
+
+
+def apply(ledger, change, expected, content):
+    """Applies a change of configuration."""
+    return ledger.do(control.ApplyChange(change, expected, "me", content, content, []))
+
+
+def test_of_two_changes_with_equal_numbers_one_wins_and_the_other_learns_which():
+    ledger = Ledger()
+    assert apply(ledger, "x", 0, "one").applied
+    lost = apply(ledger, "y", 0, "two")
+    assert (lost.applied, lost.revision, lost.winner) == (False, 1, "x")
+
+
+def test_a_resent_change_gets_its_first_answer_even_after_others():
+    ledger = Ledger()
+    first = apply(ledger, "x", 0, "one")
+    apply(ledger, "y", 1, "two")
+    assert apply(ledger, "x", 0, "one") == first
+    assert control.current(ledger.state.control).text == "two"
+    assert apply(ledger, "x", 0, "other").mismatched
+
+
+def test_a_backend_server_has_one_holder_and_rising_fencing_numbers():
+    ledger = Ledger()
+    first = ledger.do(control.LeaseBackend("b", "a1"))
+    assert ledger.do(control.LeaseBackend("b", "a2")).holder == "a1"
+    ledger.do(machine.ExpireHolder("a1"))
+    second = ledger.do(control.LeaseBackend("b", "a2"))
+    assert second.holder == "a2" and second.fencing > first.fencing
+
+
+def test_load_permits_are_bounded_and_end_with_their_holder():
+    ledger = Ledger()
+    asks = [ledger.do(control.LoadPermit(name, True, 2)).ok for name in "abc"]
+    assert asks == [True, True, False]
+    ledger.do(machine.ExpireHolder("a"))
+    assert ledger.do(control.LoadPermit("c", True, 2)).ok
--- a/verbenashore/machine.py
+++ b/verbenashore/machine.py
@@ -1,5 +1,6 @@
 """The replicated state machine: commands, their time, and what each group's state answers."""
 
+from collections import deque
 from collections.abc import Callable
 
 import msgspec
@@ -84,7 +85,7 @@
 
 
 _stamped_decoder = msgspec.msgpack.Decoder(Stamped)
-_state_decoder = msgspec.msgpack.Decoder(GroupState)
+_state_decoder = msgspec.msgpack.Decoder(GroupState, dec_hook=lambda _, items: deque(items))
 
 
 def encode(command: Command, time: float) -> bytes:
@@ -102,7 +103,7 @@
 
 def snapshot(state: GroupState) -> bytes:
     """Returns the whole state as bytes."""
-    return msgspec.msgpack.encode(state)
+    return msgspec.msgpack.encode(state, enc_hook=list)
 
 
 def restore(data: bytes, group: GroupId) -> GroupState:
