--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -129,6 +129,10 @@
     first = collect_stream(entry, "depots-key", document, headers)
     again = collect_stream(entry, "depots-key", document, headers)
     assert first == again == expected("once", 4)
+    whole = fleet.client("depots-key").ask_json(
+        "POST", "/v1/chat/completions", chat("once", 4), headers
+    )
+    assert whole["choices"][0]["message"]["content"] == first
 
 
 def test_a_caller_that_goes_away_frees_its_key_for_a_resend(fleet):
--- a/verbenashore/admission.py
+++ b/verbenashore/admission.py
@@ -23,6 +23,10 @@
 WIDEN_SECONDS = 0.05
 #: Seconds between two narrowings, so that each can show its effect.
 NARROW_SECONDS = 0.2
+#: Slots that are kept for other workspaces beyond what they lately used.
+SPARE_SLOTS = 1
+#: Seconds for which a workspace counts as having been here.
+LATELY_SECONDS = 10.0
 
 
 class Piece(msgspec.Struct, frozen=True):
@@ -52,6 +56,18 @@
     last_token: float | None = None
 
 
+class Use(msgspec.Struct):
+    """What a workspace's online work has lately used.
+
+    :param peak: the most pieces that it had here at a time.
+    :param peak_at: when that was.
+    """
+
+    seen: float
+    peak: int
+    peak_at: float
+
+
 class Admission(msgspec.Struct):
     """What an agent knows of its queue and its engine.
 
@@ -59,6 +75,7 @@
     :param window: how many batch pieces may run beside online ones.
     :param interval: the recent mean time between tokens of a stream, in seconds.
     :param usual: its long-run mean.
+    :param measured_at: when the last token came.
     """
 
     slots: int
@@ -71,7 +88,9 @@
     window_changed: float = 0.0
     interval: float = 0.0
     usual: float = 0.0
+    measured_at: float = float("-inf")
     seconds_per_piece: float = 0.0
+    use_by_workspace: dict[WorkspaceId, Use] = msgspec.field(default_factory=dict)
 
 
 def is_long(state: Admission, piece: Piece) -> bool:
@@ -95,29 +114,57 @@
     return online / state.slots
 
 
-def slowness(state: Admission) -> float:
-    """Returns how much slower than usual the engine's recent pace is; 1 is as usual."""
+def slowness(state: Admission, now: float) -> float:
+    """Returns how much slower than usual the engine's recent pace is; 1 is as usual.
+
+    A token that all streams have been waiting for counts by how long it is overdue.
+    """
     if not state.usual:
         return 1.0
-    return max(1.0, state.interval / state.usual)
+    lasts = [run.last_token for run in state.running_by_id.values() if run.last_token]
+    overdue_for = now - max(lasts) if lasts else 0.0
+    return max(1.0, state.interval / state.usual, overdue_for / state.usual)
 
 
-def expected_wait(state: Admission) -> float:
-    """Returns how long a new online piece would wait for a slot, in seconds."""
-    ahead = waiting_count(state, WorkClass.ONLINE) + count(state, WorkClass.ONLINE) - state.slots
-    return max(0, ahead + 1) * state.seconds_per_piece / state.slots
+def expected_wait(state: Admission, workspace: WorkspaceId, now: float) -> float:
+    """Returns how long a new online piece of a workspace would wait for a slot, in seconds.
+
+    Slots are shared evenly between the workspaces that were here lately.
+    """
+    share = state.slots / _workspaces(state, workspace, now)
+    ahead = sum(
+        piece.workspace == workspace and piece.work_class is WorkClass.ONLINE
+        for piece in (*state.waiting, *(run.piece for run in state.running_by_id.values()))
+    )
+    return max(0.0, ahead + 1 - share) * state.seconds_per_piece / share
 
 
 def offer(state: Admission, piece: Piece, now: float) -> bool:
     """Takes a piece into the queue; false if it could not be served in time."""
-    if piece.work_class is WorkClass.ONLINE and not state.classless:
-        full = waiting_count(state, WorkClass.ONLINE) >= state.online.queue
-        if full or now + expected_wait(state) > piece.due:
+    if piece.work_class is WorkClass.ONLINE:
+        waiting = sum(other.workspace == piece.workspace for other in state.waiting)
+        most = state.online.queue / _workspaces(state, piece.workspace, now)
+        late = now + expected_wait(state, piece.workspace, now) > piece.due
+        if not state.classless and (waiting >= most or late):
             return False
     state.waiting.append(piece)
+    if piece.work_class is WorkClass.ONLINE:
+        _note_use(state, piece.workspace, now)
     return True
 
 
+def overdue(state: Admission, now: float) -> list[Piece]:
+    """Takes out and returns the online pieces that have waited too long for a slot."""
+    late = [
+        piece
+        for piece in state.waiting
+        if piece.work_class is WorkClass.ONLINE and piece.due < now and not state.classless
+    ]
+    for piece in late:
+        state.waiting.remove(piece)
+    return late
+
+
 def withdraw(state: Admission, piece_id: PieceId) -> bool:
     """Takes a waiting piece out; true proves that it was not run."""
     kept = [piece for piece in state.waiting if piece.id != piece_id]
@@ -147,7 +194,8 @@
         max(0, _long_slots(state) - _long_running(state, WorkClass.ONLINE)),
     )
     batch = [run for run in state.running_by_id.values() if run.piece.work_class is WorkClass.BATCH]
-    wanted = online + startable + len(batch) - state.slots
+    # Pieces that wait inside the engine only matter once online work wants a slot.
+    wanted = online + startable + len(batch) - state.slots if startable else 0
     if online and _is_strained(state):
         wanted = max(wanted, len(batch) - int(state.window))
     if wanted <= 0:
@@ -172,9 +220,17 @@
         if run.piece.work_class is WorkClass.ONLINE:
             _steer(state, now)
     run.last_token = now
+    state.measured_at = now
     run.tokens += tokens
 
 
+def note_probe(state: Admission, interval: float, now: float) -> None:
+    """Takes over the pace that a probe of the idle engine has shown."""
+    state.interval = interval
+    state.usual = state.usual or interval
+    state.measured_at = now
+
+
 def note_end(state: Admission, piece_id: PieceId, now: float) -> None:
     """Notes that a piece left the engine."""
     run = state.running_by_id.pop(piece_id, None)
@@ -210,7 +266,7 @@
 def _batch_limit(state: Admission) -> int:
     online = count(state, WorkClass.ONLINE)
     share = int(state.slots * state.batch.slots_share)
-    free = state.slots - online - state.batch.reserve
+    free = state.slots - online - state.batch.reserve + state.batch.ahead
     limit = min(share, free)
     if online:
         limit = min(limit, int(state.window))
@@ -229,16 +285,42 @@
 
 
 def _choose(state: Admission, now: float) -> Piece | None:
-    if len(state.running_by_id) >= state.slots or not state.waiting:
+    if not state.waiting:
         return None
+    if len(state.running_by_id) >= state.slots:
+        return _choose_ahead(state)
     if state.classless:
         return state.waiting[0]
-    online = _allowed(state, WorkClass.ONLINE)
+    running = Counter(
+        run.piece.workspace
+        for run in state.running_by_id.values()
+        if run.piece.work_class is WorkClass.ONLINE
+    )
+    online = [
+        piece
+        for piece in _allowed(state, WorkClass.ONLINE)
+        if running[piece.workspace] < _most(state, piece.workspace, now)
+    ]
     if online:
-        running = Counter(run.piece.workspace for run in state.running_by_id.values())
         return min(
             online, key=lambda piece: (running[piece.workspace], _effective_size(piece, now))
         )
+    return _choose_batch(state)
+
+
+def _choose_ahead(state: Admission) -> Piece | None:
+    """Chooses a batch piece that waits inside the engine for the next free slot.
+
+    Without it a slot stays empty for a step each time that a piece ends.
+    """
+    if state.classless or waiting_count(state, WorkClass.ONLINE):
+        return None
+    if len(state.running_by_id) >= state.slots + state.batch.ahead:
+        return None
+    return _choose_batch(state)
+
+
+def _choose_batch(state: Admission) -> Piece | None:
     if count(state, WorkClass.BATCH) >= _batch_limit(state):
         return None
     batch = _allowed(state, WorkClass.BATCH)
@@ -253,5 +335,43 @@
     return [piece for piece in pieces if not is_long(state, piece)]
 
 
+def _workspaces(state: Admission, also: WorkspaceId, now: float) -> int:
+    """Returns how many workspaces had online work here lately, one of them counted anyway."""
+    lately = {name for name, use in state.use_by_workspace.items() if _is_recent(use.seen, now)}
+    return len(lately | {also})
+
+
+def _is_recent(when: float, now: float) -> bool:
+    return now - when < LATELY_SECONDS
+
+
+def _note_use(state: Admission, workspace: WorkspaceId, now: float) -> None:
+    pieces = (*state.waiting, *(run.piece for run in state.running_by_id.values()))
+    present = sum(
+        piece.workspace == workspace and piece.work_class is WorkClass.ONLINE for piece in pieces
+    )
+    use = state.use_by_workspace.setdefault(workspace, Use(now, present, now))
+    use.seen = now
+    if present >= use.peak or not _is_recent(use.peak_at, now):
+        use.peak = present
+        use.peak_at = now
+
+
+def _most(state: Admission, workspace: WorkspaceId, now: float) -> int:
+    """Returns the slots that a workspace may take, so that another's next piece finds one.
+
+    Nobody is pressed below an even share.
+    """
+    others = [
+        use.peak
+        for name, use in state.use_by_workspace.items()
+        if name != workspace and _is_recent(use.seen, now)
+    ]
+    if not others:
+        return state.slots
+    even = max(1, state.slots // (len(others) + 1))
+    return max(even, state.slots - sum(others) - SPARE_SLOTS)
+
+
 def _effective_size(piece: Piece, now: float) -> float:
     return piece.size - (now - piece.arrived) / AGEING_SECONDS_PER_TOKEN
--- a/verbenashore/agent.py
+++ b/verbenashore/agent.py
@@ -7,7 +7,19 @@
 import sys
 from collections.abc import Sequence
 
-from verbenashore import admission, engine, httpclient, instances, logs, misc, process, settings
+import msgspec
+
+from verbenashore import (
+    admission,
+    completions,
+    engine,
+    httpclient,
+    instances,
+    logs,
+    misc,
+    process,
+    settings,
+)
 from verbenashore.admission import Piece, PieceId
 from verbenashore.batchwork import BatchWorker
 from verbenashore.deployment import Backend
@@ -20,7 +32,16 @@
 )
 from verbenashore.link import Reply, Server
 from verbenashore.logs import Event
-from verbenashore.messages import AgentLoad, CallAnswer, Envelope, RunCall, RunModel, TokenChunk
+from verbenashore.messages import (
+    AgentLoad,
+    AskLoad,
+    CallAnswer,
+    Envelope,
+    PresentLoad,
+    RunCall,
+    RunModel,
+    TokenChunk,
+)
 from verbenashore.orders import OrderKeeper
 from verbenashore.process import Process
 from verbenashore.requests import AbandonRequest, CompleteRequest, RequestView, StartRequest
@@ -41,6 +62,10 @@
 LEDGER_SECONDS = 10.0
 LEAVING_SECONDS = 0.5
 DRAIN_SECONDS = 120.0
+#: A pace that was measured within this time is still good.
+PACE_SECONDS = 0.2
+PACE_TOKENS = 3
+PACE_PROGRESS_SECONDS = 2.0
 
 SETTINGS = (
     *settings.COMMON,
@@ -158,7 +183,10 @@
         body = envelope.body
         if not self._is_serving:
             raise OverloadedError("this agent takes no work now", step="admit", retry_after=0.5)
-        if isinstance(body, RunModel):
+        if isinstance(body, AskLoad):
+            await self._measure_pace()
+            reply(PresentLoad(self._load()), True)
+        elif isinstance(body, RunModel):
             await self._run_model(body, reply)
         elif isinstance(body, RunCall):
             reply(await self._run_call(body), True)
@@ -198,7 +226,25 @@
 
     def _load(self) -> AgentLoad:
         state = self._slots.state
-        return AgentLoad(admission.load(state), admission.slowness(state))
+        slowness = admission.slowness(state, self._process.clock())
+        return AgentLoad(admission.load(state), slowness)
+
+    async def _measure_pace(self) -> None:
+        """Lets an engine without recent tokens make a few, to see how fast it is now."""
+        backend = self._known_backend()
+        since = self._process.clock() - self._slots.state.measured_at
+        if not backend.models or since < PACE_SECONDS:
+            return
+        body = msgspec.json.encode(
+            {"model": backend.models[0], "prompt": "pace", "max_tokens": PACE_TOKENS}
+        )
+        call = engine.EngineCall(completions.TEXT_PATH, body)
+        last = 0.0
+        async for part in engine.generate(backend.address, call, PACE_PROGRESS_SECONDS):
+            now = self._process.clock()
+            if last:
+                admission.note_probe(self._slots.state, (now - last) / part.tokens, now)
+            last = now
 
     def _known_backend(self) -> Backend:
         backend = self._backend()
--- a/verbenashore/completions.py
+++ b/verbenashore/completions.py
@@ -11,6 +11,7 @@
 PATHS = frozenset({CHAT_PATH, TEXT_PATH})
 DEFAULT_MAX_TOKENS = 256
 CHARACTERS_PER_TOKEN = 4
+DELIVERY_OPTIONS = ("stream", "stream_options")
 UNSUPPORTED = frozenset(
     {"tools", "functions", "tool_choice", "logprobs", "top_logprobs", "best_of", "audio"}
 )
@@ -73,6 +74,14 @@
     )
 
 
+def fingerprint(call: ModelCall) -> bytes:
+    """Returns what makes two requests the same: their JSON, however written and delivered."""
+    document = decode_object(call.body)
+    for name in DELIVERY_OPTIONS:
+        document.pop(name, None)
+    return call.path.encode() + msgspec.json.encode(document, order="sorted")
+
+
 def decode_object(body: bytes) -> dict[str, Any]:
     """Reads a JSON object.
 
--- a/verbenashore/deployment.py
+++ b/verbenashore/deployment.py
@@ -75,23 +75,27 @@
 
     :param first_token_seconds: in which the first token is wanted.
     :param token_interval_ms: the wanted time between tokens.
+    :param queue_seconds: a request that would wait longer for a slot is refused.
     :param deadline_seconds: after which a request is given up.
     :param progress_seconds: without progress, after which a stream is moved elsewhere.
     :param long_tokens: estimated tokens from which a piece counts as long.
     :param long_share: the share of slots that long pieces may take while short ones wait.
     :param queue: pieces that may wait at one backend server.
     :param retry_share: retries and hedges as a share of requests.
+    :param move_share: stalled streams that are resumed elsewhere, as a share of requests.
     :param hedge: true if a request without a token in time is also tried elsewhere.
     """
 
     first_token_seconds: float = 1.5
     token_interval_ms: float = 79.0
+    queue_seconds: float = 2.0
     deadline_seconds: float = 60.0
     progress_seconds: float = 5.0
     long_tokens: int = 1000
     long_share: float = 0.5
     queue: int = 200
     retry_share: float = 0.05
+    move_share: float = 0.1
     hedge: bool = True
 
 
@@ -100,13 +104,15 @@
 
     :param window_seconds: the time to the deadline for the window ``24h`` of the interface.
     :param slots_share: the share of slots that batch work may take at most.
-    :param reserve: slots kept free for the next online requests.
+    :param reserve: slots kept free for online requests, beyond those that batch work gives up.
+    :param ahead: batch pieces that wait inside an engine for its next free slot.
     :param prefetch: items that wait at an agent for a slot.
     """
 
     window_seconds: float = 86_400.0
     slots_share: float = 1.0
-    reserve: int = 1
+    reserve: int = 0
+    ahead: int = 1
     prefetch: int = 4
 
 
@@ -275,11 +281,13 @@
         except ValueError as error:
             faults.append(f"{path}.address: {error}")
     positive = ["first_token_seconds", "token_interval_ms", "deadline_seconds", "long_tokens"]
-    _check_positive(deployment.online, [*positive, "progress_seconds", "queue"], "online", faults)
+    positive += ["queue_seconds", "progress_seconds", "queue"]
+    _check_positive(deployment.online, positive, "online", faults)
     _check_positive(deployment.batch, ["window_seconds"], "batch", faults)
     for path, share in (
         ("online.long_share", deployment.online.long_share),
         ("online.retry_share", deployment.online.retry_share),
+        ("online.move_share", deployment.online.move_share),
         ("batch.slots_share", deployment.batch.slots_share),
     ):
         if not 0 <= share <= 1:
--- a/verbenashore/entry.py
+++ b/verbenashore/entry.py
@@ -67,6 +67,7 @@
         self._callers = CallerDirectory(self._view)
         streams = StreamRunner(running.links, self._placement, running.clock)
         streams.count = running.metrics.count
+        running.start(streams.watch_suspects())
         self._online = OnlineInterface(
             running, self._view, self._shards, self._callers, self._limits, streams, self._placement
         )
--- a/verbenashore/limits.py
+++ b/verbenashore/limits.py
@@ -5,8 +5,6 @@
 from verbenashore.deployment import Workspace
 from verbenashore.types import WorkspaceId
 
-#: Retries that are allowed before the share of requests counts.
-RETRY_FLOOR = 10.0
 #: Seconds of its rate that a workspace may use at once.
 BURST_SECONDS = 1.0
 
@@ -33,9 +31,13 @@
 
 
 class RetryBudget(msgspec.Struct):
-    """What retries and hedges may still be spent."""
+    """What may still be spent on retries, hedges or moves.
 
-    left: float = RETRY_FLOOR
+    :param most: how much can be saved up.
+    """
+
+    left: float
+    most: float
 
 
 def admit(limits: Limits, workspace: Workspace, now: float) -> float:
@@ -66,7 +68,7 @@
 
 def earn(budget: RetryBudget, share: float) -> None:
     """Adds what one request earns."""
-    budget.left = min(RETRY_FLOOR, budget.left + share)
+    budget.left = min(budget.most, budget.left + share)
 
 
 def spend(budget: RetryBudget) -> bool:
--- a/verbenashore/messages.py
+++ b/verbenashore/messages.py
@@ -309,6 +309,16 @@
     slowness: float
 
 
+class AskLoad(msgspec.Struct, frozen=True, array_like=True, tag="ask_load"):
+    """Asks an agent that was slow for its present pace; an idle one measures it first."""
+
+
+class PresentLoad(msgspec.Struct, frozen=True, array_like=True, tag="present_load"):
+    """Answers :class:`AskLoad`."""
+
+    load: AgentLoad
+
+
 class TokenChunk(msgspec.Struct, frozen=True, array_like=True, tag="tokens"):
     """Some tokens of an answer.
 
@@ -385,6 +395,8 @@
     | HeartbeatReply
     | AskStatus
     | LedgerStatus
+    | AskLoad
+    | PresentLoad
     | RunModel
     | TokenChunk
     | RunCall
--- a/verbenashore/online.py
+++ b/verbenashore/online.py
@@ -110,9 +110,12 @@
             self._process.metrics.time(name, self._process.clock() - started)
 
     def _new_acceptance(
-        self, workspace: Workspace, request: Request, *, repeatable: bool
+        self, workspace: Workspace, request: Request, content: bytes, *, repeatable: bool
     ) -> tuple[GroupClient, AcceptRequest, bool]:
-        """Returns the shard, the command and whether the caller gave a key."""
+        """Returns the shard, the command and whether the caller gave a key.
+
+        :param content: what the key must always come with.
+        """
         given = idempotency_key(request)
         key = given or IdempotencyKey(f"made:{misc.random_id('key')}")
         shard = self._shards.for_key(workspace.name, key)
@@ -120,7 +123,7 @@
             RecordId(self._shards.new_id("req", shard.group)),
             workspace.name,
             key,
-            misc.digest(f"{request.method} {request.target}\n".encode() + request.body),
+            misc.digest(content),
             self._holder,
             repeatable,
             self._view.deployment.retention.requests_seconds,
@@ -150,7 +153,9 @@
             raise NotFoundError(
                 f"there is no model {call.model!r}", step="route", field="model", not_run=True
             )
-        shard, command, keyed = self._new_acceptance(workspace, request, repeatable=True)
+        shard, command, keyed = self._new_acceptance(
+            workspace, request, completions.fingerprint(call), repeatable=True
+        )
         accepting = asyncio.ensure_future(self._accept(shard, command))
         try:
             if keyed:
@@ -266,7 +271,8 @@
     ) -> None:
         service, target = self._find_service(request)
         repeatable = request.method in service.repeatable_methods
-        shard, command, _ = self._new_acceptance(workspace, request, repeatable=repeatable)
+        content = f"{request.method} {request.target}\n".encode() + request.body
+        shard, command, _ = self._new_acceptance(workspace, request, content, repeatable=repeatable)
         view = await self._accept(shard, command)
         call = RunCall(
             view.record,
@@ -325,7 +331,13 @@
         error: VerbenaError = OverloadedError("no agent serves this now", step="place")
         for _ in range(MAX_CALL_ATTEMPTS):
             agent = placement.choose(
-                self._placement, call.service, "", "", excluded, self._process.clock()
+                self._placement,
+                call.service,
+                "",
+                call.workspace,
+                "",
+                excluded,
+                self._process.clock(),
             )
             if agent is None:
                 break
@@ -340,11 +352,11 @@
         return await self._give_up(shard, call.record, error)
 
     async def _call_agent(self, shard: GroupClient, agent: Target, call: RunCall) -> Answer | None:
-        placement.note_start(agent)
+        placement.note_start(agent, call.workspace)
         try:
             result = await self._process.links.to(agent.address).call(call, call.due_in)
         finally:
-            placement.note_end(agent)
+            placement.note_end(agent, call.workspace)
         if not isinstance(result, CallAnswer):
             raise LinkSilentError("unexpected answer", step="call", peer=agent.name)
         placement.note_report(agent, result.load, self._process.clock())
--- a/verbenashore/placement.py
+++ b/verbenashore/placement.py
@@ -1,10 +1,12 @@
 """An entry's choice of the agent for a piece of online work; without I/O."""
 
+from collections import Counter
+
 import msgspec
 
 from verbenashore import misc
 from verbenashore.messages import AgentLoad, Member
-from verbenashore.types import BackendName, MemberName
+from verbenashore.types import BackendName, MemberName, WorkspaceId
 
 #: Load that an affine agent may have above the least loaded one, as a share of its slots.
 AFFINITY_SLACK = 0.25
@@ -12,8 +14,8 @@
 AFFINITY_LIMIT = 0.75
 #: An agent this much slower than usual is avoided.
 SLOW = 2.0
-#: Seconds for which a slow agent is avoided before it is tried again.
-AVOID_SECONDS = 0.5
+#: Seconds for which a slow agent is avoided unless it shows its usual pace before.
+AVOID_SECONDS = 5.0
 #: Seconds after which a reported load says nothing any more.
 REPORT_SECONDS = 1.0
 #: Load that another region counts as, for the way there.
@@ -38,6 +40,7 @@
     reported: float = 0.0
     reported_at: float = float("-inf")
     avoid_until: float = float("-inf")
+    outstanding_by_workspace: Counter[WorkspaceId] = msgspec.field(default_factory=Counter)
 
 
 class Placement(msgspec.Struct):
@@ -61,6 +64,7 @@
             target.reported = before.reported
             target.reported_at = before.reported_at
             target.avoid_until = before.avoid_until
+            target.outstanding_by_workspace = before.outstanding_by_workspace
     placement.target_by_name = {target.name: target for target in targets}
 
 
@@ -68,6 +72,7 @@
     placement: Placement,
     service: str,
     model: str,
+    workspace: WorkspaceId,
     prefix: str,
     excluded: set[MemberName],
     now: float,
@@ -90,7 +95,14 @@
         placement.turn += 1
         return able[placement.turn % len(able)]
     fast = [target for target in able if target.avoid_until <= now] or able
-    least = min(fast, key=lambda target: (_load(target, now), _affinity(target, prefix)))
+    least = min(
+        fast,
+        key=lambda target: (
+            min(1.0, _load(target, now)),
+            target.outstanding_by_workspace[workspace],
+            _affinity(target, prefix),
+        ),
+    )
     if not prefix:
         return least
     affine = min(fast, key=lambda target: _affinity(target, prefix))
@@ -98,14 +110,21 @@
     return affine if _load(affine, now) <= bound else least
 
 
-def note_start(target: Target) -> None:
+def is_usable(target: Target, now: float) -> bool:
+    """Tells whether moving work to an agent is worthwhile."""
+    return target.avoid_until <= now and _load(target, now) < 1.0
+
+
+def note_start(target: Target, workspace: WorkspaceId) -> None:
     """Notes that a piece was sent."""
     target.outstanding += 1
+    target.outstanding_by_workspace[workspace] += 1
 
 
-def note_end(target: Target) -> None:
+def note_end(target: Target, workspace: WorkspaceId) -> None:
     """Notes that a piece has ended."""
     target.outstanding = max(0, target.outstanding - 1)
+    target.outstanding_by_workspace[workspace] -= 1
 
 
 def note_report(target: Target, load: AgentLoad, now: float) -> None:
@@ -116,6 +135,19 @@
         note_slow(target, now)
 
 
+def suspects(placement: Placement, now: float) -> list[Target]:
+    """Returns the agents that are avoided, to be asked whether they still have to be."""
+    return [t for t in placement.target_by_name.values() if t.avoid_until > now]
+
+
+def note_pace(target: Target, load: AgentLoad, now: float) -> None:
+    """Takes in the answer of an avoided agent."""
+    if load.slowness < SLOW:
+        target.avoid_until = now
+    else:
+        note_slow(target, now)
+
+
 def note_slow(target: Target, now: float) -> None:
     """Keeps new work away from an agent for a moment."""
     target.avoid_until = now + AVOID_SECONDS
--- a/verbenashore/slots.py
+++ b/verbenashore/slots.py
@@ -44,8 +44,7 @@
         :raises OverloadedError: if the piece could not be served in time; it was not run.
         """
         if not admission.offer(self.state, piece, self._clock()):
-            wait = admission.expected_wait(self.state)
-            raise OverloadedError("the queue is too long", step="admit", retry_after=wait)
+            raise self._too_late(piece)
         turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._turn_by_id[piece.id] = turn
         if on_yield is not None:
@@ -76,7 +75,15 @@
             on_yield = self._yield_by_id.pop(piece_id, None)
             if on_yield is not None:
                 on_yield()
+        for piece in admission.overdue(self.state, now):
+            turn = self._turn_by_id.get(piece.id)
+            if turn is not None and not turn.done():
+                turn.set_exception(self._too_late(piece))
         for piece in admission.start_next(self.state, now):
             turn = self._turn_by_id.get(piece.id)
             if turn is not None and not turn.done():
                 turn.set_result(None)
+
+    def _too_late(self, piece: Piece) -> OverloadedError:
+        wait = admission.expected_wait(self.state, piece.workspace, self._clock())
+        return OverloadedError("the queue is too long", step="admit", retry_after=wait)
--- a/verbenashore/streams.py
+++ b/verbenashore/streams.py
@@ -21,7 +21,7 @@
 )
 from verbenashore.limits import RetryBudget
 from verbenashore.logs import Event
-from verbenashore.messages import RunModel, TokenChunk
+from verbenashore.messages import AskLoad, PresentLoad, RunModel, TokenChunk
 from verbenashore.placement import Placement, Target
 from verbenashore.types import Clock, MemberName, RecordId, WorkspaceId
 
@@ -29,12 +29,19 @@
 MAX_REFUSALS = 4
 MAX_FAILURES = 3
 #: A stream whose next token takes this many times the usual interval is also tried elsewhere.
-HEDGE_INTERVALS = 8.0
+HEDGE_INTERVALS = 3.0
 HEDGE_FLOOR_SECONDS = 0.15
-#: The first token is waited for this share of the wanted time before a hedge.
-HEDGE_FIRST_SHARE = 0.5
+#: The first token is waited for this many times its usual time before a hedge.
+HEDGE_FIRSTS = 2.0
 #: How much of a new value goes into a running mean.
 MEAN_WEIGHT = 0.05
+SUSPECT_SECONDS = 0.2
+#: Retries and hedges that can be saved up.
+SAVED_RETRIES = 3.0
+#: Moves that can be saved up: a slow engine stalls all its streams at once.
+SAVED_MOVES = 32.0
+ROOM_SECONDS = 0.1
+PACE_SECONDS = 3.0
 
 
 class Pace(msgspec.Struct):
@@ -74,7 +81,8 @@
         self._links = links
         self._placement = targets
         self._clock = clock
-        self.budget = RetryBudget()
+        self.budget = RetryBudget(SAVED_RETRIES, SAVED_RETRIES)
+        self.moves = RetryBudget(SAVED_MOVES, SAVED_MOVES)
         self.pace = Pace()
         self.count: Callable[[str], None] = lambda name: None
 
@@ -92,15 +100,31 @@
         :raises UnavailableError: if it failed at several agents.
         """
         limits.earn(self.budget, policy.retry_share)
+        limits.earn(self.moves, policy.move_share)
         return _Stream(self, record, workspace, service, call, policy).parts()
 
-    def choose(self, service: str, call: ModelCall, excluded: set[MemberName]) -> Target | None:
+    def choose(
+        self, service: str, workspace: WorkspaceId, call: ModelCall, excluded: set[MemberName]
+    ) -> Target | None:
         """Chooses an agent for a call."""
         prefix = call.prompt[:PREFIX_CHARACTERS]
         return placement.choose(
-            self._placement, service, call.model, prefix, excluded, self._clock()
+            self._placement, service, call.model, workspace, prefix, excluded, self._clock()
         )
 
+    async def watch_suspects(self) -> None:
+        """Asks avoided agents for their pace until it is cancelled, and lets fast ones back."""
+        while True:
+            await asyncio.sleep(SUSPECT_SECONDS)
+            suspects = placement.suspects(self._placement, self._clock())
+            await asyncio.gather(*(self._ask_pace(target) for target in suspects))
+
+    async def _ask_pace(self, target: Target) -> None:
+        with contextlib.suppress(VerbenaError):
+            answer = await self._links.to(target.address).call(AskLoad(), PACE_SECONDS)
+            if isinstance(answer, PresentLoad):
+                placement.note_pace(target, answer.load, self._clock())
+
     @property
     def clock(self) -> Clock:
         """The clock of the process."""
@@ -152,7 +176,7 @@
                 if attempt.number not in self._attempts:
                     continue
                 if isinstance(item, Ended):
-                    self._on_end(attempt, item.error)
+                    await self._on_end(attempt, item.error)
                     continue
                 finished = bool(item.finish)
                 if self._take(attempt, item):
@@ -169,7 +193,7 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(patience):
                     return await self._inbox.get()
-            self._hedge()
+            self._seek_faster()
         return await misc.within(max(0.0, deadline - self._runner.clock()), self._inbox.get(), late)
 
     def _patience(self) -> float | None:
@@ -180,25 +204,32 @@
         if self._tokens:
             limit = max(HEDGE_FLOOR_SECONDS, HEDGE_INTERVALS * pace.interval)
         else:
-            limit = max(
-                HEDGE_FLOOR_SECONDS,
-                min(self._policy.first_token_seconds * HEDGE_FIRST_SHARE, 4 * pace.first),
-            )
+            usual = min(self._policy.first_token_seconds, HEDGE_FIRSTS * pace.first)
+            limit = max(HEDGE_FLOOR_SECONDS, usual)
         return max(0.0, limit - waited)
 
-    def _hedge(self) -> None:
+    def _seek_faster(self) -> None:
+        """Tries a late first token elsewhere too, or moves a stalled stream."""
         self._hedged = True
         running = next(iter(self._attempts.values()))
-        placement.note_slow(running.target, self._runner.clock())
-        excluded = self._excluded | {running.target.name}
-        target = self._runner.choose(self._service, self._call, excluded)
-        usable = target is not None and target.avoid_until <= self._runner.clock()
-        if usable and target is not None and limits.spend(self._runner.budget):
+        now = self._runner.clock()
+        placement.note_slow(running.target, now)
+        target = self._choose(self._excluded | {running.target.name})
+        if target is None or not placement.is_usable(target, now):
+            return
+        if not self._tokens and limits.spend(self._runner.budget):
             self._runner.count("hedges")
             self._launch(target)
+        elif self._tokens and limits.spend(self._runner.moves):
+            self._runner.count("moves")
+            self._discard(running)
+            self._launch(target)
+
+    def _choose(self, excluded: set[MemberName]) -> Target | None:
+        return self._runner.choose(self._service, self._workspace, self._call, excluded)
 
     def _launch_or_fail(self, error: VerbenaError | None) -> None:
-        target = self._runner.choose(self._service, self._call, self._excluded)
+        target = self._choose(self._excluded)
         if target is not None:
             self._launch(target)
         elif not self._attempts:
@@ -209,7 +240,7 @@
     def _launch(self, target: Target) -> None:
         attempt = Attempt(next(self._numbers), target, self._tokens)
         self._attempts[attempt.number] = attempt
-        placement.note_start(target)
+        placement.note_start(target, self._workspace)
         attempt.task = asyncio.create_task(self._pump(attempt))
 
     async def _pump(self, attempt: Attempt) -> None:
@@ -224,7 +255,7 @@
             self._call.max_tokens,
             self._text,
             self._tokens,
-            self._policy.deadline_seconds,
+            self._wait_left(),
         )
         link = self._runner.links.to(attempt.target.address)
         try:
@@ -235,7 +266,14 @@
         except VerbenaError as error:
             self._inbox.put_nowait((attempt, Ended(error)))
         finally:
-            placement.note_end(attempt.target)
+            placement.note_end(attempt.target, self._workspace)
+
+    def _wait_left(self) -> float:
+        """Returns how long an agent may let this stream wait for a slot, in seconds."""
+        now = self._runner.clock()
+        if self._tokens:
+            return self._started + self._policy.deadline_seconds - now
+        return max(0.0, self._started + self._policy.queue_seconds - now)
 
     def _progress_seconds(self) -> float:
         return self._policy.deadline_seconds
@@ -245,7 +283,8 @@
         now = self._runner.clock()
         placement.note_report(attempt.target, part.load, now)
         if part.position != attempt.position:
-            self._on_end(attempt, BackendError("a part was lost", step="stream"))
+            lost = BackendError("a part was lost", step="stream")
+            self._inbox.put_nowait((attempt, Ended(lost)))
             return False
         attempt.position += part.tokens
         if len(self._attempts) > 1:
@@ -272,7 +311,7 @@
         if attempt.task is not None:
             attempt.task.cancel()
 
-    def _on_end(self, attempt: Attempt, error: VerbenaError) -> None:
+    async def _on_end(self, attempt: Attempt, error: VerbenaError) -> None:
         """Deals with a failed attempt: goes on elsewhere while that is worthwhile."""
         self._discard(attempt)
         if isinstance(error, BackendRefusedError):
@@ -287,7 +326,9 @@
             self._runner.count("retries")
         if self._attempts:
             return
-        if self._refusals >= MAX_REFUSALS:
+        if refused and self._tokens:
+            await self._wait_for_room()
+        elif self._refusals >= MAX_REFUSALS:
             raise error
         if self._failures >= MAX_FAILURES or (
             not refused and not limits.spend(self._runner.budget)
@@ -295,6 +336,13 @@
             raise UnavailableError(error.message, step="stream", peer=attempt.target.name)
         self._launch_or_fail(error)
 
+    async def _wait_for_room(self) -> None:
+        """Waits a moment with a begun stream that found every agent full."""
+        target = self._choose(self._excluded)
+        if target is None:
+            self._excluded.clear()
+            await asyncio.sleep(ROOM_SECONDS)
+
     async def _cancel(self, attempts: list[Attempt]) -> None:
         tasks = [attempt.task for attempt in attempts if attempt.task is not None]
         self._attempts.clear()
