--- a/verbenashore/admission.py
+++ b/verbenashore/admission.py
@@ -246,7 +246,9 @@
     if not state.usual:
         state.usual = state.interval = interval
     state.interval += INTERVAL_WEIGHT * (interval - state.interval)
-    state.usual += USUAL_WEIGHT * (interval - state.usual)
+    # A slow start must not pass for the usual pace, so it falls at once and rises slowly.
+    weight = INTERVAL_WEIGHT if interval < state.usual else USUAL_WEIGHT
+    state.usual += weight * (interval - state.usual)
 
 
 def _is_strained(state: Admission) -> bool:
--- a/verbenashore/process.py
+++ b/verbenashore/process.py
@@ -13,7 +13,7 @@
 
 from verbenashore import httpserver, logs, metrics, misc
 from verbenashore.client import Links
-from verbenashore.exceptions import VerbenaError
+from verbenashore.exceptions import StorageError, VerbenaError
 from verbenashore.httpserver import Request, Responder
 from verbenashore.logs import Event
 from verbenashore.messages import Sender
@@ -108,7 +108,9 @@
         asyncio.run(_run(settings, program))
     except VerbenaError as error:
         details = {"code": error.code, "step": error.step, "peer": error.peer}
-        logs.warning(Event.STOPPED, error=error.message, **details)
+        failed_disk = isinstance(error, StorageError)
+        event = Event.STORAGE_FAILED if failed_disk else Event.STOPPED
+        logs.warning(event, error=error.message, **details)
         print(f"{settings.name}: {error.code}: {error.message}", file=sys.stderr)
         return EXIT_FAILED
     return 0
--- a/verbenashore/remote.py
+++ b/verbenashore/remote.py
@@ -74,13 +74,21 @@
         action = "drain" if wanted else "undrain"
         return self.ask_json("POST", f"/admin/v1/{action}/{name}", {"change_id": change_id})
 
-    def submit(self, content: bytes, name: str, endpoint: str, window: str) -> dict[str, Any]:
+    def submit(
+        self,
+        content: bytes,
+        name: str,
+        endpoint: str,
+        window: str,
+        metadata: dict[str, str] | None = None,
+    ) -> dict[str, Any]:
         """Uploads a file and makes a batch of it."""
         file = self._upload(content, name)
         document = {
             "input_file_id": file["id"],
             "endpoint": endpoint,
             "completion_window": window,
+            "metadata": metadata or {},
         }
         return self.ask_json("POST", "/v1/batches", document)
 
--- a/verbenashore/replay.py
+++ b/verbenashore/replay.py
@@ -37,14 +37,19 @@
 def run(trace: Path) -> GroupState:
     """Applies every command of a trace in order.
 
-    :raises ReplayMismatchError: if the trace has a gap.
+    A process that was restarted has written what it applied again.
+
+    :raises ReplayMismatchError: if an index comes twice with different commands.
     """
     state = GroupState(GroupId(0))
+    data_by_index: dict[int, bytes] = {}
     for line in trace.read_text().splitlines():
         entry = msgspec.json.decode(line, type=LogEntry)
-        if entry.index <= state.applied:
-            raise ReplayMismatchError(f"index {entry.index} comes twice", step="replay")
-        machine.apply(state, entry.index, entry.data)
+        known = data_by_index.setdefault(entry.index, entry.data)
+        if known != entry.data:
+            raise ReplayMismatchError(f"index {entry.index} has two commands", step="replay")
+        if entry.index > state.applied:
+            machine.apply(state, entry.index, entry.data)
     return state
 
 
--- a/verbenashore/streams.py
+++ b/verbenashore/streams.py
@@ -35,6 +35,7 @@
 HEDGE_FIRSTS = 2.0
 #: How much of a new value goes into a running mean.
 MEAN_WEIGHT = 0.05
+OUTLIER_FACTOR = 4.0
 SUSPECT_SECONDS = 0.2
 #: Retries and hedges that can be saved up.
 SAVED_RETRIES = 3.0
@@ -47,12 +48,12 @@
 class Pace(msgspec.Struct):
     """What this entry usually sees, over all agents.
 
-    :param first: seconds to the first token.
-    :param interval: seconds between two chunks.
+    :param first: seconds to the first token; 0 while unknown.
+    :param interval: seconds between two chunks; 0 while unknown.
     """
 
-    first: float = 0.5
-    interval: float = 0.05
+    first: float = 0.0
+    interval: float = 0.0
 
 
 class Ended(msgspec.Struct):
@@ -220,7 +221,7 @@
         if not self._tokens and limits.spend(self._runner.budget):
             self._runner.count("hedges")
             self._launch(target)
-        elif self._tokens and limits.spend(self._runner.moves):
+        elif limits.spend(self._runner.moves):
             self._runner.count("moves")
             self._discard(running)
             self._launch(target)
@@ -302,9 +303,9 @@
         pace = self._runner.pace
         waited = now - self._last_part
         if self._tokens:
-            pace.interval += MEAN_WEIGHT * (min(waited, 4 * pace.interval) - pace.interval)
+            pace.interval = _updated(pace.interval, waited)
         else:
-            pace.first += MEAN_WEIGHT * (min(waited, 4 * pace.first) - pace.first)
+            pace.first = _updated(pace.first, waited)
 
     def _discard(self, attempt: Attempt) -> None:
         del self._attempts[attempt.number]
@@ -347,3 +348,10 @@
         tasks = [attempt.task for attempt in attempts if attempt.task is not None]
         self._attempts.clear()
         await misc.cancel_and_wait(*tasks)
+
+
+def _updated(mean: float, value: float) -> float:
+    """Returns a running mean; a single late value moves it little."""
+    if not mean:
+        return value
+    return mean + MEAN_WEIGHT * (min(value, OUTLIER_FACTOR * mean) - mean)
