--- a/lab/capacity.py
+++ b/lab/capacity.py
@@ -137,10 +137,11 @@
 
 async def member_load(fleet: Fleet) -> dict[str, Any]:
     """Measures the control group's leader against members, and the time to be in force."""
-    leader = fleet.leader(0)
+    leader = await asyncio.to_thread(fleet.leader, 0)
     pid = fleet.process_by_name[leader].pid
     cores, in_force, kilobytes = [], [], []
-    revision = fleet.client(OPERATOR_KEY).status()["revision"]
+    status = await asyncio.to_thread(fleet.client(OPERATOR_KEY).status)
+    revision = status["revision"]
     for count in MEMBER_COUNTS:
         crowd = _Crowd(fleet, count)
         await crowd.start()
