--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,7 @@
 	$(BIN)/python -m lab.mutants
 
 measure: $(VENV)/stamp
+	$(BIN)/python -m lab.system
 	$(BIN)/python -m lab.measure
 
 capacity: $(VENV)/stamp
--- a/lab/capacity.py
+++ b/lab/capacity.py
@@ -285,7 +285,7 @@
 def _targets(count: int) -> placement.Placement:
     known = placement.Placement()
     made = [
-        placement.Target(f"a{n}", f"b{n}", "127.0.0.1:1", 8, True, frozenset({"m"}), "s")
+        placement.Target(f"a{n}", f"b{n}", "127.0.0.1:1", 8, "d", "r", frozenset({"m"}), "s")
         for n in range(count)
     ]
     placement.update(known, made)
--- a/lab/mutants.py
+++ b/lab/mutants.py
@@ -51,7 +51,7 @@
     ),
     Mutant(
         "lease longer than the shelter",
-        "consensus.py",
+        "replication.py",
         "lease: float = 0.3",
         "lease: float = 3.0",
         CONSENSUS,
@@ -86,7 +86,7 @@
     ),
     Mutant(
         "never replaces a lost voter",
-        "consensus.py",
+        "repair.py",
         "return now - last > replica.timing.replace_after",
         "return False",
         CONSENSUS,
--- a/lab/traffic.py
+++ b/lab/traffic.py
@@ -11,17 +11,22 @@
 
 
 async def read_stream(
-    address: str, key: str, document: dict[str, Any], headers: dict[str, str] | None = None
+    address: str,
+    key: str,
+    document: dict[str, Any],
+    headers: dict[str, str] | None = None,
+    seconds: float = STREAM_SECONDS,
 ) -> str:
     """Returns the text of a streamed chat answer; only one that came whole counts.
 
+    :param seconds: in which each further part must come.
     :raises BackendError: if it broke off.
     """
     fields = {"authorization": f"Bearer {key}", "content-type": "application/json"}
     body = msgspec.json.encode(document)
     path = "/v1/chat/completions"
     async with httpclient.exchange(
-        address, "POST", path, body, STREAM_SECONDS, fields | (headers or {})
+        address, "POST", path, body, seconds, fields | (headers or {})
     ) as running:
         data = b"".join([part async for part in running.parts()])
     if running.status != 200:
@@ -34,7 +39,11 @@
 
 
 def collect_stream(
-    address: str, key: str, document: dict[str, Any], headers: dict[str, str] | None = None
+    address: str,
+    key: str,
+    document: dict[str, Any],
+    headers: dict[str, str] | None = None,
+    seconds: float = STREAM_SECONDS,
 ) -> str:
     """Returns the text of a streamed chat answer, for callers without a loop."""
-    return asyncio.run(read_stream(address, key, document, headers))
+    return asyncio.run(read_stream(address, key, document, headers, seconds))
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -9,8 +9,9 @@
 from lab.fleet import OPERATOR_KEY, Fleet, wait_until
 from lab.traffic import collect_stream
 from tests.fleets import CHAT, Streams, batch_file, chat, expected, outcomes, right_outcomes
-from verbenashore.remote import RemoteError
+from verbenashore.remote import Client, RemoteError
 
+LIST_LAG_SECONDS = 2
 POST = "/v1/services/credits/accounts/7"
 
 
@@ -46,6 +47,18 @@
     fleet.restart("engine-2")
 
 
+def test_streams_of_killed_agents_go_on_elsewhere_however_many_they_are(fleet):
+    with Streams(fleet, callers=36, tokens=60) as streams:
+        time.sleep(1)
+        fleet.kill("agent-engine-1")
+        fleet.kill("agent-engine-2")
+        time.sleep(2)
+        streams.stop()
+    fleet.restart("agent-engine-1")
+    fleet.restart("agent-engine-2")
+    assert not streams.wrong and streams.right >= 36
+
+
 def test_a_frozen_agent_delays_no_answer_beyond_the_link_deadline(fleet):
     with Streams(fleet) as streams:
         time.sleep(0.5)
@@ -142,6 +155,25 @@
     operator.drain("agent-engine-5", "undrain-5", wanted=False)
 
 
+def test_an_agent_whose_instance_leaves_gets_no_new_work_though_the_list_lags(fleet):
+    platform = fleet.start_platform()
+    fleet.terminate("agent-engine-2")
+    backend = next(b for b in fleet.deployed.backend if b.name == "engine-2")
+    fleet.start_agent(backend, "", "--platform", platform, "--instance", "i-2")
+    wait_until(lambda: fleet.engine_state("engine-2")["now_running"] >= 0, 5, "the engine")
+    with Streams(fleet) as streams:
+        time.sleep(2)
+        Client(platform, "").ask_json("POST", "/leave", {"name": "i-2"})
+        time.sleep(LIST_LAG_SECONDS + 3)
+        before = fleet.engine_state("engine-2")
+        time.sleep(2)
+        after = fleet.engine_state("engine-2")
+        assert after["served"] == before["served"] > 0 and not after["now_running"]
+    assert not streams.wrong
+    fleet.terminate("agent-engine-2")
+    fleet.start_agent(backend)
+
+
 def test_a_cancelled_batch_stops_at_the_engines_within_a_second(fleet):
     mills = fleet.client("mills-key")
     batch = mills.submit(batch_file(60, tokens=2000, prefix="long"), "c.jsonl", CHAT, "24h")
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -9,6 +9,7 @@
 from lab.fleet import OPERATOR_KEY, Fleet
 from lab.traffic import collect_stream
 from tests.fleets import MODEL, Streams, chat, expected
+from verbenashore.exceptions import BackendError
 from verbenashore.remote import RemoteError
 
 
@@ -159,6 +160,36 @@
     assert "backend[0].slots" in error.message
 
 
+def test_a_request_that_the_engine_refuses_gets_the_engines_reason(fleet):
+    depots = fleet.client("depots-key")
+    ask = depots.ask_json
+    error = refusal(lambda: ask("POST", "/v1/chat/completions", chat("long", 100_000)))
+    assert (error.code, error.not_run) == ("backend_refused", True)
+    assert "context is too long" in error.message
+
+
+def test_a_silent_link_to_the_caller_loses_nothing_that_is_asked_for_again(fleet):
+    relay = fleet.start_relay("entry-1")
+    headers = {"idempotency-key": "silent"}
+    document = chat("silent", 60, stream=True)
+    broken = []
+
+    def ask():
+        try:
+            collect_stream(relay, "depots-key", document, headers, seconds=1.5)
+        except BackendError as error:
+            broken.append(error)
+
+    caller = threading.Thread(target=ask)
+    caller.start()
+    threading.Event().wait(0.6)
+    fleet.tell_relay("entry-1", "silence")
+    caller.join()
+    assert broken and not broken[0].not_run
+    text = collect_stream(relay, "depots-key", document, headers)
+    assert text == expected("silent", 60)
+
+
 def test_a_stopping_entry_finishes_its_streams(fleet):
     with Streams(fleet, callers=6, tokens=60) as streams:
         threading.Event().wait(0.5)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -29,6 +29,16 @@
     return fleet.client("depots-key").ask_json("POST", CHAT, chat(prompt, 3))
 
 
+def wait_for_ledgers(fleet):
+    """Waits until every ledger process answers."""
+
+    def answer():
+        ledgers = fleet.client(OPERATOR_KEY, "entry-2").status()["ledgers"]
+        return all("error" not in ledger for ledger in ledgers)
+
+    wait_until(answer, 15, "every ledger process")
+
+
 def test_a_killed_leader_loses_no_answer(fleet):
     kept = answer_once(fleet, "before the kill")
     with Streams(fleet) as streams:
@@ -145,6 +155,27 @@
     assert fleet.client("depots-key").result(kept["id"])["state"] == "completed"
 
 
+def test_a_replica_that_is_hundreds_of_changes_behind_catches_up_by_a_snapshot(fleet):
+    for name in fleet.ledger_names:
+        fleet.terminate(name)
+        fleet.start_ledger(name, "--snapshot-bytes", "30000")
+    kept = wait_until(lambda: answer_once(fleet, "before"), 10, "an answer")
+    late = next(name for name in fleet.ledger_names if name != fleet.leader(SHARD))
+    fleet.kill(late)
+    mills = fleet.client("mills-key")
+    batch = mills.submit(batch_file(400, tokens=2), "many.jsonl", CHAT, "24h")
+    ended = mills.wait(batch["id"], 40)
+    assert outcomes(mills, ended) == right_outcomes(400, tokens=2)
+    fleet.restart(late)
+    wait_until(lambda: '"snapshot_installed", "group": 1' in fleet.log(late), 10, "a snapshot")
+    others = [name for name in fleet.ledger_names if name != late]
+    fleet.kill(others[0])
+    wait_until(lambda: answer_once(fleet, "with the late one"), 10, "an answer")
+    assert fleet.client("depots-key").result(kept["id"])["state"] == "completed"
+    fleet.restart(others[0])
+    wait_for_ledgers(fleet)
+
+
 def test_a_rolling_restart_under_load_loses_nothing(fleet):
     with Streams(fleet, tokens=30, entry="entry-2") as streams:
         for name in (*fleet.ledger_names, "entry-1", "agent-engine-1", "agent-credits-1"):
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -4,8 +4,8 @@
 
 from tests.group import entry
 from verbenashore import storage
-from verbenashore.consensus import Base, HardState
 from verbenashore.exceptions import StorageError
+from verbenashore.replication import Base, HardState
 from verbenashore.storage import Snapshot
 
 
--- a/verbenashore/admin.py
+++ b/verbenashore/admin.py
@@ -11,13 +11,13 @@
 from verbenashore.completions import decode_object
 from verbenashore.control import ApplyChange, Change, ChangeResult
 from verbenashore.exceptions import (
-    BadRequestError,
     KeyConflictError,
     NotFoundError,
     RevisionConflictError,
     UnauthorizedError,
     UnavailableError,
     VerbenaError,
+    bad_field,
 )
 from verbenashore.httpserver import Request, Responder
 from verbenashore.messages import (
@@ -89,7 +89,7 @@
         document = decode_object(request.body)
         text = document.get("file")
         if not isinstance(text, str):
-            raise _bad("file", "must be text")
+            raise bad_field("file", "must be text")
         deployment.parse(text)
         history = await self._read_history()
         drained = history[-1].drained if history else []
@@ -153,7 +153,7 @@
     async def _diff(self, request: Request, respond: Responder) -> None:
         text = decode_object(request.body).get("file")
         if not isinstance(text, str):
-            raise _bad("file", "must be text")
+            raise bad_field("file", "must be text")
         deployment.parse(text)
         history = await self._read_history()
         lines = deployment.difference(history[-1].text if history else "", text)
@@ -209,20 +209,16 @@
 def _change_id(document: dict[str, Any]) -> ChangeId:
     value = document.get("change_id")
     if not isinstance(value, str) or not value:
-        raise _bad("change_id", "must be text")
+        raise bad_field("change_id", "must be text")
     return ChangeId(value)
 
 
 def _expected(document: dict[str, Any]) -> Revision:
     value = document.get("expect_revision")
     if not isinstance(value, int) or isinstance(value, bool) or value < 0:
-        raise _bad("expect_revision", "must be a whole number of at least 0")
+        raise bad_field("expect_revision", "must be a whole number of at least 0")
     return Revision(value)
 
 
 def _author(document: dict[str, Any]) -> str:
     return str(document.get("author", ""))
-
-
-def _bad(field: str, problem: str) -> BadRequestError:
-    return BadRequestError(f"{field} {problem}", step="parse", field=field, not_run=True)
--- a/verbenashore/agent.py
+++ b/verbenashore/agent.py
@@ -12,6 +12,7 @@
 from verbenashore import (
     admission,
     completions,
+    deployment,
     engine,
     httpclient,
     instances,
@@ -122,8 +123,7 @@
         )
 
     def _backend(self) -> Backend | None:
-        found = [b for b in self._view.deployment.backend if b.name == self._backend_name]
-        return found[0] if found else None
+        return deployment.find_backend(self._view.deployment, self._backend_name)
 
     async def run(self) -> None:
         """Serves until told to stop, then drains."""
--- a/verbenashore/batches.py
+++ b/verbenashore/batches.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from verbenashore import completions, jobs, misc
+from verbenashore import completions, files, jobs, misc
 from verbenashore.callers import CallerDirectory, idempotency_key
 from verbenashore.client import GroupClient
 from verbenashore.deployment import Workspace
@@ -18,9 +18,11 @@
     NotFoundError,
     UnavailableError,
     VerbenaError,
+    bad_field,
 )
+from verbenashore.files import FileView
 from verbenashore.httpserver import Request, Responder
-from verbenashore.jobs import FileView, ItemView, ItemViews, JobView, NewItem
+from verbenashore.jobs import ItemView, ItemViews, JobView, NewItem
 from verbenashore.messages import (
     FilePart,
     Files,
@@ -120,7 +122,7 @@
         fingerprint = misc.digest(f"{name}\n{purpose}\n".encode() + content)
         shard = self._shards.for_key(workspace.name, IdempotencyKey(fingerprint))
         file_id = FileId(self._shards.new_id("file", shard.group))
-        create = jobs.CreateFile(
+        create = files.CreateFile(
             file_id,
             workspace.name,
             self._holder,
@@ -133,8 +135,8 @@
         await shard.propose(create, LEDGER_SECONDS)
         for part, offset in enumerate(range(0, len(content), PART_BYTES)):
             data = content[offset : offset + PART_BYTES]
-            await shard.propose(jobs.AppendFile(file_id, part, data), LEDGER_SECONDS)
-        view = await shard.propose(jobs.SealFile(file_id), LEDGER_SECONDS)
+            await shard.propose(files.AppendFile(file_id, part, data), LEDGER_SECONDS)
+        view = await shard.propose(files.SealFile(file_id), LEDGER_SECONDS)
         if not isinstance(view, FileView):
             raise UnavailableError("the file was not stored whole", step="upload", not_run=True)
         return view
@@ -200,7 +202,7 @@
         document = completions.decode_object(request.body)
         endpoint = _field(document, "endpoint")
         if endpoint not in completions.PATHS:
-            raise _bad("endpoint", f"must be one of {', '.join(sorted(completions.PATHS))}")
+            raise bad_field("endpoint", f"must be one of {', '.join(sorted(completions.PATHS))}")
         window_text = _field(document, "completion_window")
         window = self._window_seconds(window_text)
         metadata = _metadata(document)
@@ -260,7 +262,7 @@
             return self._view.deployment.batch.window_seconds
         match = WINDOW_FORM.fullmatch(text)
         if match is None or int(match[1]) == 0:
-            raise _bad("completion_window", "must be 24h or a number with s, m or h")
+            raise bad_field("completion_window", "must be 24h or a number with s, m or h")
         return float(int(match[1]) * SECONDS_BY_UNIT[match[2]])
 
     async def _read_content(self, workspace: Workspace, file_id: FileId) -> bytes:
@@ -275,14 +277,14 @@
     def _parse_items(self, content: bytes, endpoint: str) -> list[NewItem]:
         lines = [line for line in content.splitlines() if line.strip()]
         if not 1 <= len(lines) <= MAX_ITEMS:
-            raise _bad("input_file_id", f"must hold 1 to {MAX_ITEMS} lines")
+            raise bad_field("input_file_id", f"must hold 1 to {MAX_ITEMS} lines")
         models = {model for backend in self._view.deployment.backend for model in backend.models}
         seen: set[str] = set()
         items = []
         for number, line in enumerate(lines, 1):
             item = _parse_item(number, line, endpoint, models)
             if item.custom_id in seen:
-                raise _bad(f"line {number}: custom_id", f"{item.custom_id!r} stands twice")
+                raise bad_field(f"line {number}: custom_id", f"{item.custom_id!r} stands twice")
             seen.add(item.custom_id)
             items.append(item)
         return items
@@ -298,7 +300,7 @@
         rest = found[positions[0] + 1 :] if positions else found
         size = request.query.get("limit", "20")
         if not size.isdigit() or not 1 <= int(size) <= MAX_LISTED:
-            raise _bad("limit", f"must be 1 to {MAX_LISTED}")
+            raise bad_field("limit", f"must be 1 to {MAX_LISTED}")
         page = [_job_document(view) for view in rest[: int(size)]]
         ends = {"first_id": page[0]["id"], "last_id": page[-1]["id"]} if page else {}
         document = {"object": "list", "data": page, "has_more": len(rest) > int(size)}
@@ -339,7 +341,7 @@
     header["content-type"] = request.headers.get("content-type", "")
     boundary = header.get_param("boundary")
     if header.get_content_type() != "multipart/form-data" or not isinstance(boundary, str):
-        raise _bad("content-type", "must be multipart/form-data with a boundary")
+        raise bad_field("content-type", "must be multipart/form-data with a boundary")
     parts: dict[str, tuple[str, bytes]] = {}
     for piece in (b"\r\n" + request.body).split(f"\r\n--{boundary}".encode())[1:-1]:
         head, _, content = piece.partition(b"\r\n\r\n")
@@ -349,10 +351,10 @@
         file_name = described.get_param("filename", "", header="content-disposition")
         parts[str(name)] = (str(file_name), content)
     if "file" not in parts:
-        raise _bad("file", "is required")
+        raise bad_field("file", "is required")
     purpose = parts.get("purpose", ("", b""))[1].decode("utf-8", "replace")
     if purpose != "batch":
-        raise _bad("purpose", "must be 'batch'")
+        raise bad_field("purpose", "must be 'batch'")
     return parts["file"][0] or "file", purpose, parts["file"][1]
 
 
@@ -371,19 +373,19 @@
     try:
         document = completions.decode_object(line)
     except BadRequestError as error:
-        raise _bad(f"line {number}", error.message) from None
+        raise bad_field(f"line {number}", error.message) from None
     custom_id = document.get("custom_id")
     if not isinstance(custom_id, str) or not custom_id:
-        raise _bad(f"line {number}: custom_id", "must be text")
+        raise bad_field(f"line {number}: custom_id", "must be text")
     if document.get("url") != endpoint:
-        raise _bad(f"line {number}: url", f"must be {endpoint}")
+        raise bad_field(f"line {number}: url", f"must be {endpoint}")
     if not isinstance(document.get("body"), dict):
-        raise _bad(f"line {number}: body", "must be an object")
+        raise bad_field(f"line {number}: body", "must be an object")
     body = msgspec.json.encode(document["body"])
     try:
         call = completions.parse_call(endpoint, body)
         if call.model not in models:
-            raise _bad("model", f"{call.model!r} is unknown")
+            raise bad_field("model", f"{call.model!r} is unknown")
     except BadRequestError as error:
         return NewItem(custom_id, "", body, 0, _fault(error))
     return NewItem(custom_id, call.model, body, call.prompt_tokens + call.max_tokens)
@@ -461,16 +463,12 @@
 def _field(document: dict[str, Any], name: str) -> str:
     value = document.get(name)
     if not isinstance(value, str) or not value:
-        raise _bad(name, "must be text")
+        raise bad_field(name, "must be text")
     return value
 
 
 def _metadata(document: dict[str, Any]) -> dict[str, str]:
     value = document.get("metadata") or {}
     if not isinstance(value, dict) or not all(isinstance(text, str) for text in value.values()):
-        raise _bad("metadata", "must map text to text")
+        raise bad_field("metadata", "must map text to text")
     return value
-
-
-def _bad(field: str, problem: str) -> BadRequestError:
-    return BadRequestError(f"{field} {problem}", step="parse", field=field, not_run=True)
--- a/verbenashore/batchwork.py
+++ b/verbenashore/batchwork.py
@@ -137,7 +137,7 @@
         try:
             result = await self._run_turns(held, started)
         except BackendRefusedError as error:
-            result = self._result(held, error.status, error.body)
+            result = self._result(held, error.status, error.message.encode())
         except BackendError as error:
             # Where nothing was sent it was no attempt, so a dead backend server uses up none.
             failure = self._result(held, 0, msgspec.json.encode({"error": error.message}))
@@ -168,7 +168,7 @@
     async def _run_turn(self, held: HeldItem, started: float) -> ItemResult:
         backend = self._backend()
         if backend is None:
-            raise BackendError("the backend server is not configured", step="run")
+            raise BackendError("the backend server is not configured", step="run", not_run=True)
         leased = held.leased
         piece = Piece(
             held.key,
--- a/verbenashore/client.py
+++ b/verbenashore/client.py
@@ -1,8 +1,6 @@
 """Calls to the leader of a replicated group, wherever it is."""
 
 import asyncio
-import contextlib
-import itertools
 from collections.abc import Callable
 
 import zmq.asyncio
@@ -60,8 +58,7 @@
         self._links = links
         self._clock = clock
         self._addresses = addresses
-        self._rotation = itertools.cycle(addresses)
-        self._leader = next(self._rotation)
+        self._leader = addresses[0]
 
     async def propose(self, command: Command, seconds: float) -> Result:
         """Commits a command; it may be sent more than once, so commands must bear that.
@@ -108,9 +105,7 @@
         if hint in self._addresses and hint != address:
             self._leader = hint
             return
-        candidates = list(itertools.islice(self._rotation, len(self._addresses)))
-        others = [other for other in candidates if other != address]
+        position = self._addresses.index(address)
+        others = [*self._addresses[position + 1 :], *self._addresses[:position]]
         alive = [other for other in others if not self._links.to(other).is_silent]
         self._leader = (alive or others or [address])[0]
-        with contextlib.suppress(StopIteration):
-            next(self._rotation)
--- a/verbenashore/completions.py
+++ b/verbenashore/completions.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from verbenashore.exceptions import BadRequestError
+from verbenashore.exceptions import BadRequestError, bad_field
 
 CHAT_PATH = "/v1/chat/completions"
 TEXT_PATH = "/v1/completions"
@@ -59,7 +59,7 @@
     document = decode_object(body)
     model = document.get("model")
     if not isinstance(model, str) or not model:
-        raise _bad("model", "must be a model's name")
+        raise bad_field("model", "must be a model's name")
     prompt = _chat_prompt(document) if path == CHAT_PATH else _text_prompt(document)
     _check_options(document)
     options = document.get("stream_options") or {}
@@ -172,14 +172,14 @@
 def _chat_prompt(document: dict[str, Any]) -> str:
     messages = document.get("messages")
     if not isinstance(messages, list) or not messages:
-        raise _bad("messages", "must be a list with at least one message")
+        raise bad_field("messages", "must be a list with at least one message")
     parts = []
     for position, message in enumerate(messages):
         if not isinstance(message, dict) or not isinstance(message.get("role"), str):
-            raise _bad(f"messages[{position}].role", "must be text")
+            raise bad_field(f"messages[{position}].role", "must be text")
         content = message.get("content")
         if not isinstance(content, str):
-            raise _bad(f"messages[{position}].content", "must be text")
+            raise bad_field(f"messages[{position}].content", "must be text")
         parts.append(f"{message['role']}: {content}")
     return "\n".join(parts)
 
@@ -187,7 +187,7 @@
 def _text_prompt(document: dict[str, Any]) -> str:
     prompt = document.get("prompt")
     if not isinstance(prompt, str) or not prompt:
-        raise _bad("prompt", "must be text")
+        raise bad_field("prompt", "must be text")
     return prompt
 
 
@@ -197,17 +197,13 @@
     if value is None:
         return DEFAULT_MAX_TOKENS
     if not isinstance(value, int) or isinstance(value, bool) or value < 1:
-        raise _bad(name, "must be a whole number of at least 1")
+        raise bad_field(name, "must be a whole number of at least 1")
     return value
 
 
 def _check_options(document: dict[str, Any]) -> None:
     if document.get("n") not in (None, 1):
-        raise _bad("n", "only 1 is supported")
+        raise bad_field("n", "only 1 is supported")
     for name in sorted(UNSUPPORTED & set(document)):
         if document[name] not in (None, False, [], "none"):
-            raise _bad(name, "is not supported")
-
-
-def _bad(field: str, problem: str) -> BadRequestError:
-    return BadRequestError(f"{field} {problem}", step="parse", field=field, not_run=True)
+            raise bad_field(name, "is not supported")
--- a/verbenashore/consensus.py
+++ b/verbenashore/consensus.py
@@ -10,30 +10,30 @@
 
 import msgspec
 
-from verbenashore.types import LogIndex, MemberName, ReplicaId, Term
+from verbenashore.replication import (
+    NOBODY,
+    AppendReply,
+    AppendRequest,
+    Base,
+    EntryKind,
+    HandoverRequest,
+    HardState,
+    LogEntry,
+    Membership,
+    Message,
+    Packet,
+    Peer,
+    SnapshotRequest,
+    Timing,
+    VoteReply,
+    VoteRequest,
+)
+from verbenashore.types import LogIndex, ReplicaId, Term
 
-NOBODY = ReplicaId("")
 MAX_ENTRIES_PER_MESSAGE = 512
 MAX_BYTES_PER_MESSAGE = 1 << 20
 
 
-class Timing(msgspec.Struct, frozen=True):
-    """The times that a replica goes by, in seconds.
-
-    :param heartbeat: between two messages of a leader to a follower.
-    :param election_min: a follower that heard its leader within this time grants no vote.
-    :param election_max: the longest time after which a follower campaigns.
-    :param lease: how long a quorum's answer lets a leader answer reads; under ``election_min``.
-    :param replace_after: how long a replica is silent before a learner takes its place.
-    """
-
-    heartbeat: float = 0.06
-    election_min: float = 0.4
-    election_max: float = 0.75
-    lease: float = 0.3
-    replace_after: float = 10.0
-
-
 class Role(Enum):
     """The part that a replica plays in its group."""
 
@@ -42,144 +42,6 @@
     LEADER = "leader"
 
 
-class EntryKind(Enum):
-    """What a log entry holds."""
-
-    NOOP = 0
-    COMMAND = 1
-    MEMBERSHIP = 2
-
-
-class Peer(msgspec.Struct, frozen=True, array_like=True):
-    """One replica of a group.
-
-    :param id: made with its data folder.
-    :param name: the process that runs it.
-    :param address: ``IP:PORT`` of that process.
-    """
-
-    id: ReplicaId
-    name: MemberName
-    address: str
-
-
-class Membership(msgspec.Struct, frozen=True, array_like=True):
-    """The replicas of a group.
-
-    :param voters: those that count in quorums.
-    :param learners: those that only receive the log.
-    """
-
-    voters: tuple[Peer, ...] = ()
-    learners: tuple[Peer, ...] = ()
-
-
-class LogEntry(msgspec.Struct, frozen=True, array_like=True):
-    """One entry of the log.
-
-    :param index: its position; the first entry has 1.
-    :param term: the term of the leader that made it.
-    """
-
-    index: LogIndex
-    term: Term
-    kind: EntryKind
-    data: bytes
-
-
-class HardState(msgspec.Struct, frozen=True, array_like=True):
-    """What a replica must not forget.
-
-    :param term: the latest term it has seen.
-    :param vote: whom it voted for in that term.
-    """
-
-    term: Term = Term(0)
-    vote: ReplicaId = NOBODY
-
-
-class Base(msgspec.Struct, frozen=True, array_like=True):
-    """The point up to which a snapshot stands for the log."""
-
-    index: LogIndex = LogIndex(0)
-    term: Term = Term(0)
-    membership: Membership = Membership()
-
-
-class VoteRequest(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Asks for a vote.
-
-    :param trial: a pre-vote, which changes no term.
-    :param handover: the leader asked for this election, so its lease doesn't stand against it.
-    """
-
-    term: Term
-    last_index: LogIndex
-    last_term: Term
-    trial: bool
-    handover: bool
-
-
-class VoteReply(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """Answers a vote request."""
-
-    term: Term
-    trial: bool
-    granted: bool
-
-
-class AppendRequest(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """Carries entries, or none as a heartbeat.
-
-    :param sent_at: the leader's own clock, which the reply gives back.
-    """
-
-    term: Term
-    previous_index: LogIndex
-    previous_term: Term
-    entries: list[LogEntry]
-    commit: LogIndex
-    sent_at: float
-
-
-class AppendReply(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """Answers an append or a snapshot.
-
-    :param match: the last index known to agree, or where to try next if not ``ok``.
-    """
-
-    term: Term
-    ok: bool
-    match: LogIndex
-    sent_at: float
-
-
-class SnapshotRequest(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """Carries a snapshot; the runtime fills in its data."""
-
-    term: Term
-    base: Base
-    data: bytes
-    sent_at: float
-
-
-class HandoverRequest(msgspec.Struct, frozen=True, array_like=True, tag=6):
-    """Tells a follower to campaign at once."""
-
-    term: Term
-
-
-Message = VoteRequest | VoteReply | AppendRequest | AppendReply | SnapshotRequest | HandoverRequest
-
-
-class Packet(msgspec.Struct, frozen=True, array_like=True):
-    """A message on its way between two replicas."""
-
-    sender: ReplicaId
-    to: ReplicaId
-    message: Message
-
-
 class Progress(msgspec.Struct):
     """What a leader knows of one other replica.
 
@@ -343,7 +205,7 @@
 
 def change_membership(replica: Replica, new: Membership, now: float) -> bool:
     """Starts one change of membership; false if that isn't allowed now."""
-    if not may_serve(replica, now) or _change_is_pending(replica):
+    if not may_serve(replica, now) or change_is_pending(replica):
         return False
     _append(replica, EntryKind.MEMBERSHIP, msgspec.msgpack.encode(new))
     _broadcast(replica, now)
@@ -382,43 +244,11 @@
     others = [peer.id for peer in membership(replica).voters if peer.id != replica.id]
     if not others:
         return
-    successor = max(others, key=lambda peer_id: _progress(replica, peer_id).match)
+    successor = max(others, key=lambda peer_id: progress_of(replica, peer_id).match)
     _send(replica, successor, HandoverRequest(replica.hard.term))
     _follow(replica, replica.hard.term, NOBODY, now)
 
 
-def next_change(replica: Replica, size: int, now: float) -> Membership | None:
-    """Chooses the next change that repairs the group's membership, if one is due.
-
-    :param size: how many voters the group should have.
-    """
-    current = membership(replica)
-    if not may_serve(replica, now) or _change_is_pending(replica):
-        return None
-    ready = [peer for peer in current.learners if _is_caught_up(replica, peer, now)]
-    names = {peer.name for peer in ready}
-    dead = [peer for peer in current.voters if _is_silent(replica, peer, now)]
-    replaced = [peer for peer in dead if peer.name in names] or dead
-    if ready and (len(current.voters) < size or (replaced and len(current.voters) == size)):
-        wanted = {peer.name for peer in replaced}
-        chosen = next((peer for peer in ready if peer.name in wanted), ready[0])
-        return _without(current, chosen, voters=(*current.voters, chosen))
-    if dead and len(current.voters) > size:
-        voter_names = [peer.name for peer in current.voters]
-        gone = next((peer for peer in dead if voter_names.count(peer.name) > 1), dead[0])
-        return Membership(
-            tuple(peer for peer in current.voters if peer.id != gone.id), current.learners
-        )
-    lost = next((peer for peer in current.learners if _is_silent(replica, peer, now)), None)
-    return _without(current, lost, voters=current.voters) if lost else None
-
-
-def with_learner(current: Membership, learner: Peer) -> Membership:
-    """Returns a membership with one more learner; older ones of the same process leave."""
-    kept = tuple(peer for peer in current.learners if peer.name != learner.name)
-    return Membership(current.voters, (*kept, learner))
-
-
 def receive(replica: Replica, packet: Packet, now: float) -> None:
     """Takes a message from another replica; one that was meant for another id is dropped."""
     if packet.to != replica.id:
@@ -587,11 +417,13 @@
     return known[-1] if known else replica.base.membership
 
 
-def _change_is_pending(replica: Replica) -> bool:
+def change_is_pending(replica: Replica) -> bool:
+    """Tells whether the newest change of membership is not committed yet."""
     return bool(replica.memberships) and replica.memberships[-1][0] > replica.commit
 
 
-def _progress(replica: Replica, peer_id: ReplicaId) -> Progress:
+def progress_of(replica: Replica, peer_id: ReplicaId) -> Progress:
+    """Returns what a leader knows of another replica."""
     if peer_id not in replica.progress:
         replica.progress[peer_id] = Progress(LogIndex(last_index(replica) + 1))
     return replica.progress[peer_id]
@@ -600,30 +432,13 @@
 def _quorum_acknowledged(replica: Replica, now: float) -> float:
     """Returns the time at which a quorum was last known to follow this leader."""
     times = [
-        now if peer.id == replica.id else _progress(replica, peer.id).acknowledged
+        now if peer.id == replica.id else progress_of(replica, peer.id).acknowledged
         for peer in membership(replica).voters
     ]
     times.sort(reverse=True)
     return times[quorum(replica) - 1]
 
 
-def _is_silent(replica: Replica, peer: Peer, now: float) -> bool:
-    if peer.id == replica.id:
-        return False
-    last = max(_progress(replica, peer.id).heard, replica.led_since)
-    return now - last > replica.timing.replace_after
-
-
-def _is_caught_up(replica: Replica, peer: Peer, now: float) -> bool:
-    progress = _progress(replica, peer.id)
-    fresh = now - progress.heard < replica.timing.election_max
-    return fresh and progress.match >= replica.commit
-
-
-def _without(current: Membership, learner: Peer, voters: tuple[Peer, ...]) -> Membership:
-    return Membership(voters, tuple(peer for peer in current.learners if peer.id != learner.id))
-
-
 def _broadcast(replica: Replica, now: float) -> None:
     replica.heartbeat_at = now + replica.timing.heartbeat
     for peer in _others(membership(replica), replica.id):
@@ -631,7 +446,7 @@
 
 
 def _send_entries(replica: Replica, peer_id: ReplicaId, now: float) -> None:
-    progress = _progress(replica, peer_id)
+    progress = progress_of(replica, peer_id)
     previous = LogIndex(progress.next - 1)
     previous_term = term_at(replica, previous)
     if previous_term is None:
@@ -699,7 +514,7 @@
 def _on_append_reply(replica: Replica, sender: ReplicaId, reply: AppendReply, now: float) -> None:
     if replica.role is not Role.LEADER or reply.term != replica.hard.term:
         return
-    progress = _progress(replica, sender)
+    progress = progress_of(replica, sender)
     progress.heard = now
     progress.acknowledged = max(progress.acknowledged, reply.sent_at)
     if not reply.ok:
@@ -718,7 +533,7 @@
     """Commits what a quorum has synced; true if something new was committed."""
     matches = sorted(
         (
-            replica.persisted if peer.id == replica.id else _progress(replica, peer.id).match
+            replica.persisted if peer.id == replica.id else progress_of(replica, peer.id).match
             for peer in membership(replica).voters
         ),
         reverse=True,
--- a/verbenashore/deployment.py
+++ b/verbenashore/deployment.py
@@ -199,9 +199,9 @@
     return KEY_PREFIX + misc.digest(key.encode())
 
 
-def backends_of(deployment: Deployment, service: str) -> list[Backend]:
-    """Returns the backend servers of a service."""
-    return [backend for backend in deployment.backend if backend.service == service]
+def find_backend(deployment: Deployment, name: BackendName) -> Backend | None:
+    """Returns a backend server, if it is configured."""
+    return next((backend for backend in deployment.backend if backend.name == name), None)
 
 
 def service_of_model(deployment: Deployment, model: str) -> Service | None:
--- a/verbenashore/engine.py
+++ b/verbenashore/engine.py
@@ -113,7 +113,8 @@
         if running.status != 200:
             answer = b"".join([part async for part in running.parts()])
             if running.status in REQUEST_FAULTS:
-                raise BackendRefusedError(running.status, answer, address)
+                text = answer.decode("utf-8", "replace")
+                raise BackendRefusedError(text, address, running.status)
             # An engine that has just started answers 404, for its models are not loaded yet.
             not_run = running.status in NOT_TAKEN
             problem = f"status {running.status}"
--- a/verbenashore/entry.py
+++ b/verbenashore/entry.py
@@ -14,7 +14,7 @@
 from verbenashore.limits import Limits
 from verbenashore.logs import Event
 from verbenashore.online import OnlineInterface
-from verbenashore.placement import Placement, Target
+from verbenashore.placement import Place, Placement, Target
 from verbenashore.process import Process
 from verbenashore.settings import Setting
 from verbenashore.shards import Shards, keep_session
@@ -30,6 +30,7 @@
     Setting("ledgers", settings.parse_addresses, "addresses of the ledger processes"),
     Setting("shards", settings.parse_count, "how many shards the work ledger has", "1"),
     Setting("operator-key", str, "SHA-256 of the operators' key, as sha256:HEX"),
+    Setting("subset", settings.parse_count, "agents of each service that this entry uses", "400"),
     Setting(
         "lame-duck",
         settings.parse_seconds,
@@ -62,7 +63,7 @@
             BackendName(""),
         )
         self._view.on_change.append(self._on_change)
-        self._placement = Placement(self._settings.policy == "baseline")
+        self._placement = Placement(self._settings.region, self._settings.policy == "baseline")
         self._limits = Limits()
         self._callers = CallerDirectory(self._view)
         streams = StreamRunner(running.links, self._placement, running.clock)
@@ -112,16 +113,16 @@
         """Takes over a new configuration or member list."""
         deployed = self._view.deployment
         backend_by_name = {backend.name: backend for backend in deployed.backend}
-        region = self._settings.region
         targets: list[Target] = []
         for member in self._view.members.values():
             backend = backend_by_name.get(member.backend)
             if backend is None or member.state is not MemberState.SERVING:
                 continue
-            targets.append(
-                placement.to_target(member, backend.slots, backend.models, backend.service, region)
-            )
-        placement.update(self._placement, targets)
+            target = placement.to_target(member, backend.slots, backend.models, backend.service)
+            targets.append(target)
+        place = Place(self._settings.data_centre, self._settings.region)
+        used = placement.subset(targets, self._process.name, place, self._settings.subset)
+        placement.update(self._placement, used)
         entries = [m for m in self._view.members.values() if m.role is MemberRole.ENTRY]
         self._limits.entries = max(1, len(entries))
         self._callers.update(deployed)
--- a/verbenashore/exceptions.py
+++ b/verbenashore/exceptions.py
@@ -65,6 +65,11 @@
     http_status = 400
 
 
+def bad_field(field: str, problem: str) -> BadRequestError:
+    """Returns the refusal of a request for one of its fields."""
+    return BadRequestError(f"{field} {problem}", step="parse", field=field, not_run=True)
+
+
 class TooLargeError(VerbenaError):
     """A body or header is over its limit."""
 
@@ -156,18 +161,16 @@
 class BackendRefusedError(VerbenaError):
     """A backend server refused a request by itself; another attempt would end alike.
 
+    :param answer: what it said.
     :param status: its HTTP status.
-    :param body: its answer.
     """
 
     code = "backend_refused"
     http_status = 400
 
-    def __init__(self, status: int, body: bytes, peer: str) -> None:
-        text = body.decode("utf-8", "replace")
-        super().__init__(text, step="engine", peer=peer, not_run=True)
+    def __init__(self, answer: str, peer: str, status: int = 400) -> None:
+        super().__init__(answer, step="engine", peer=peer, not_run=True)
         self.status = status
-        self.body = body
 
 
 class LinkSilentError(VerbenaError):
--- /dev/null
+++ b/verbenashore/files.py
@@ -0,0 +1,133 @@
+"""The part of the work ledger that holds callers' files, as a pure state machine."""
+
+import msgspec
+
+from verbenashore.types import FileId, MemberName, WorkspaceId
+
+
+class Done(msgspec.Struct, frozen=True, array_like=True, tag="done"):
+    """Answers a command that has nothing more to say."""
+
+    ok: bool = True
+
+
+class CreateFile(msgspec.Struct, frozen=True, array_like=True, tag="create_file"):
+    """Announces an uploaded file; its parts follow."""
+
+    file: FileId
+    workspace: WorkspaceId
+    holder: MemberName
+    name: str
+    purpose: str
+    size: int
+    created_at: int
+    retention: float
+
+
+class AppendFile(msgspec.Struct, frozen=True, array_like=True, tag="append_file"):
+    """Adds one part of a file; parts may be resent."""
+
+    file: FileId
+    part: int
+    data: bytes
+
+
+class SealFile(msgspec.Struct, frozen=True, array_like=True, tag="seal_file"):
+    """Makes a file readable."""
+
+    file: FileId
+
+
+class FileView(msgspec.Struct, frozen=True, array_like=True, tag="file"):
+    """What the ledger says of a file; without its content."""
+
+    file: FileId
+    workspace: WorkspaceId
+    name: str
+    purpose: str
+    size: int
+    created_at: int
+    parts: int
+
+
+class FileRecord(msgspec.Struct):
+    """One file and its parts."""
+
+    announced: CreateFile
+    sealed: bool = False
+    ends_at: float = 0.0
+    data_by_part: dict[int, bytes] = msgspec.field(default_factory=dict)
+
+
+class FileBook(msgspec.Struct):
+    """All files of one shard."""
+
+    file_by_id: dict[FileId, FileRecord] = msgspec.field(default_factory=dict)
+
+
+def create_file(book: FileBook, command: CreateFile) -> Done:
+    """Announces a file."""
+    book.file_by_id.setdefault(command.file, FileRecord(command))
+    return Done()
+
+
+def append_file(book: FileBook, command: AppendFile) -> Done:
+    """Adds a part to a file that is not sealed yet."""
+    record = book.file_by_id.get(command.file)
+    if record is None or record.sealed:
+        return Done(False)
+    record.data_by_part[command.part] = command.data
+    return Done()
+
+
+def seal_file(book: FileBook, command: SealFile, now: float) -> FileView | None:
+    """Makes a file readable, if all its bytes are there."""
+    record = book.file_by_id.get(command.file)
+    if record is None:
+        return None
+    if sum(map(len, record.data_by_part.values())) != record.announced.size:
+        return None
+    record.sealed = True
+    record.ends_at = now + record.announced.retention
+    return file_view(record)
+
+
+def file_view(record: FileRecord) -> FileView:
+    """Returns what may be told of a file."""
+    known = record.announced
+    return FileView(
+        known.file,
+        known.workspace,
+        known.name,
+        known.purpose,
+        known.size,
+        known.created_at,
+        len(record.data_by_part),
+    )
+
+
+def release_holder(book: FileBook, holder: MemberName) -> None:
+    """Drops the files that a process whose session has ended was storing."""
+    unfinished = [
+        file_id
+        for file_id, record in book.file_by_id.items()
+        if not record.sealed and record.announced.holder == holder
+    ]
+    for file_id in unfinished:
+        del book.file_by_id[file_id]
+
+
+def expire(book: FileBook, now: float) -> None:
+    """Forgets files whose retention has ended."""
+    ended = [id_ for id_, record in book.file_by_id.items() if _has_ended(record, now)]
+    for file_id in ended:
+        del book.file_by_id[file_id]
+
+
+def has_expired(book: FileBook, now: float) -> bool:
+    """Tells whether :func:`expire` would change something."""
+    return any(_has_ended(record, now) for record in book.file_by_id.values())
+
+
+def _has_ended(record: FileRecord, now: float) -> bool:
+    return 0 < record.ends_at <= now
--- a/verbenashore/jobs.py
+++ b/verbenashore/jobs.py
@@ -1,9 +1,10 @@
-"""The part of the work ledger that holds files and batch jobs, as a pure state machine."""
+"""The part of the work ledger that holds batch jobs, as a pure state machine."""
 
 from collections import deque
 
 import msgspec
 
+from verbenashore.files import Done
 from verbenashore.types import (
     FileId,
     IdempotencyKey,
@@ -18,45 +19,6 @@
 IMPOSSIBLE_STATUS = 400
 
 
-class CreateFile(msgspec.Struct, frozen=True, array_like=True, tag="create_file"):
-    """Announces an uploaded file; its parts follow."""
-
-    file: FileId
-    workspace: WorkspaceId
-    holder: MemberName
-    name: str
-    purpose: str
-    size: int
-    created_at: int
-    retention: float
-
-
-class AppendFile(msgspec.Struct, frozen=True, array_like=True, tag="append_file"):
-    """Adds one part of a file; parts may be resent."""
-
-    file: FileId
-    part: int
-    data: bytes
-
-
-class SealFile(msgspec.Struct, frozen=True, array_like=True, tag="seal_file"):
-    """Makes a file readable."""
-
-    file: FileId
-
-
-class FileView(msgspec.Struct, frozen=True, array_like=True, tag="file"):
-    """What the ledger says of a file; without its content."""
-
-    file: FileId
-    workspace: WorkspaceId
-    name: str
-    purpose: str
-    size: int
-    created_at: int
-    parts: int
-
-
 class NewItem(msgspec.Struct, frozen=True, array_like=True):
     """One item of a job.
 
@@ -187,12 +149,6 @@
     results: list[ItemResult]
 
 
-class Done(msgspec.Struct, frozen=True, array_like=True, tag="done"):
-    """Answers a command that has nothing more to say."""
-
-    ok: bool = True
-
-
 class JobView(msgspec.Struct, frozen=True, array_like=True, tag="job"):
     """What the ledger says of a job.
 
@@ -231,15 +187,6 @@
     items: list[ItemView]
 
 
-class FileRecord(msgspec.Struct):
-    """One file and its parts."""
-
-    announced: CreateFile
-    sealed: bool = False
-    ends_at: float = 0.0
-    data_by_part: dict[int, bytes] = msgspec.field(default_factory=dict)
-
-
 class Item(msgspec.Struct):
     """One item of a job, with its state."""
 
@@ -272,12 +219,11 @@
 
 
 class JobBook(msgspec.Struct):
-    """All files and jobs of one shard.
+    """All jobs of one shard.
 
     :param leased_by_holder: the items that each process holds, as (job, position).
     """
 
-    file_by_id: dict[FileId, FileRecord] = msgspec.field(default_factory=dict)
     job_by_id: dict[JobId, Job] = msgspec.field(default_factory=dict)
     id_by_key: dict[str, JobId] = msgspec.field(default_factory=dict)
     leased_by_holder: dict[MemberName, set[tuple[JobId, int]]] = msgspec.field(default_factory=dict)
@@ -291,47 +237,6 @@
 _OPEN_JOB = frozenset({JobState.LOADING, JobState.RUNNING})
 
 
-def create_file(book: JobBook, command: CreateFile) -> Done:
-    """Announces a file."""
-    book.file_by_id.setdefault(command.file, FileRecord(command))
-    return Done()
-
-
-def append_file(book: JobBook, command: AppendFile) -> Done:
-    """Adds a part to a file that is not sealed yet."""
-    record = book.file_by_id.get(command.file)
-    if record is None or record.sealed:
-        return Done(False)
-    record.data_by_part[command.part] = command.data
-    return Done()
-
-
-def seal_file(book: JobBook, command: SealFile, now: float) -> FileView | None:
-    """Makes a file readable, if all its bytes are there."""
-    record = book.file_by_id.get(command.file)
-    if record is None:
-        return None
-    if sum(map(len, record.data_by_part.values())) != record.announced.size:
-        return None
-    record.sealed = True
-    record.ends_at = now + record.announced.retention
-    return file_view(record)
-
-
-def file_view(record: FileRecord) -> FileView:
-    """Returns what may be told of a file."""
-    known = record.announced
-    return FileView(
-        known.file,
-        known.workspace,
-        known.name,
-        known.purpose,
-        known.size,
-        known.created_at,
-        len(record.data_by_part),
-    )
-
-
 def create_job(book: JobBook, command: CreateJob) -> JobView:
     """Announces a job, or attaches to the one that has the same key."""
     key = f"{command.workspace}/{command.key}"
@@ -427,13 +332,6 @@
     for job in list(book.job_by_id.values()):
         if job.state is JobState.LOADING and job.announced.holder == holder:
             _forget_job(book, job)
-    unfinished = [
-        file_id
-        for file_id, record in book.file_by_id.items()
-        if not record.sealed and record.announced.holder == holder
-    ]
-    for file_id in unfinished:
-        del book.file_by_id[file_id]
 
 
 def expire(book: JobBook, now: float) -> None:
@@ -443,9 +341,6 @@
             _stop(book, job, JobState.EXPIRED, ItemState.EXPIRED, now)
         elif 0 < job.ends_at <= now:
             _forget_job(book, job)
-    ended = [id_ for id_, record in book.file_by_id.items() if 0 < record.ends_at <= now]
-    for file_id in ended:
-        del book.file_by_id[file_id]
 
 
 def has_expired(book: JobBook, now: float) -> bool:
@@ -453,7 +348,7 @@
     return any(
         (job.state is JobState.RUNNING and job.deadline <= now) or 0 < job.ends_at <= now
         for job in book.job_by_id.values()
-    ) or any(0 < record.ends_at <= now for record in book.file_by_id.values())
+    )
 
 
 def waiting_count(book: JobBook) -> int:
--- a/verbenashore/ledger.py
+++ b/verbenashore/ledger.py
@@ -7,8 +7,19 @@
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
-from verbenashore import consensus, jobs, logs, machine, members, process, requests, settings
-from verbenashore.consensus import Packet, Peer, Role
+from verbenashore import (
+    consensus,
+    files,
+    jobs,
+    logs,
+    machine,
+    members,
+    process,
+    replication,
+    requests,
+    settings,
+)
+from verbenashore.consensus import Role
 from verbenashore.exceptions import NotFoundError, NotLeaderError, VerbenaError
 from verbenashore.jobs import ItemViews
 from verbenashore.link import Reply, Server
@@ -45,6 +56,7 @@
 )
 from verbenashore.process import Process
 from verbenashore.replica import JoinWish, ReplicaRunner
+from verbenashore.replication import Packet, Peer
 from verbenashore.settings import Address, Setting
 from verbenashore.types import CONTROL_GROUP, GroupId, JobState, MemberName, ReplicaId
 
@@ -86,6 +98,12 @@
         "seconds of silence after which a replica is replaced by a spare",
         "10",
     ),
+    Setting(
+        "snapshot-bytes",
+        settings.parse_count,
+        "bytes of log after which a snapshot is taken",
+        str(16 << 20),
+    ),
     Setting("trace", str, "file to which committed commands are written; none if empty", ""),
 )
 
@@ -131,7 +149,7 @@
         self._members_term = -1
         self._address_by_replica: dict[ReplicaId, str] = {}
         own = (running.name, settings.advertised(self._settings))
-        timing = consensus.Timing(replace_after=self._settings.replace_after)
+        timing = replication.Timing(replace_after=self._settings.replace_after)
         self._runner_by_group = {
             group: ReplicaRunner(
                 group,
@@ -141,6 +159,7 @@
                 running.clock,
                 self._sender_for(group),
                 self._settings.replicas,
+                self._settings.snapshot_bytes,
                 self._settings.trace,
             )
             for group in self._settings.groups
@@ -244,7 +263,7 @@
     def _on_join(self, body: JoinGroup) -> Body:
         runner = self._serving(body.group)
         runner.take(JoinWish(body.peer))
-        return jobs.Done()
+        return files.Done()
 
     def _read(self, state: machine.GroupState, body: Body) -> Body:
         if isinstance(body, ReadRequest):
@@ -260,7 +279,7 @@
         if isinstance(body, ListJobs):
             return Jobs(_jobs_of(state, body.workspace))
         if isinstance(body, ReadFile | ReadPart):
-            record_of_file = state.jobs.file_by_id.get(body.file)
+            record_of_file = state.files.file_by_id.get(body.file)
             if (
                 record_of_file is None
                 or not record_of_file.sealed
@@ -268,7 +287,7 @@
             ):
                 raise NotFoundError("no such file", step="read", field="id")
             if isinstance(body, ReadFile):
-                return jobs.file_view(record_of_file)
+                return files.file_view(record_of_file)
             return FilePart(record_of_file.data_by_part.get(body.part, b""))
         if isinstance(body, ListFiles):
             return Files(_files_of(state, body.workspace))
@@ -396,10 +415,10 @@
     ]
 
 
-def _files_of(state: machine.GroupState, workspace: str) -> list[jobs.FileView]:
+def _files_of(state: machine.GroupState, workspace: str) -> list[files.FileView]:
     return [
-        jobs.file_view(record)
-        for record in state.jobs.file_by_id.values()
+        files.file_view(record)
+        for record in state.files.file_by_id.values()
         if record.sealed and record.announced.workspace == workspace
     ]
 
--- a/verbenashore/link.py
+++ b/verbenashore/link.py
@@ -36,10 +36,13 @@
 Reply = Callable[[Body, bool], None]
 Handler = Callable[[Envelope, Reply], Awaitable[None]]
 
-_ERROR_BY_CODE = {
+#: The errors that a message can stand for without more than the base's fields.
+_PLAIN_ERROR_BY_CODE = {
     error.code: error
     for error in vars(exceptions).values()
-    if isinstance(error, type) and issubclass(error, VerbenaError)
+    if isinstance(error, type)
+    and issubclass(error, VerbenaError)
+    and error.__init__ is VerbenaError.__init__
 }
 
 
@@ -57,15 +60,13 @@
 
 def to_error(failure: Failure, peer: str) -> VerbenaError:
     """Returns the error that a message stands for."""
-    kind = _ERROR_BY_CODE.get(failure.code, VerbenaError)
-    if kind is exceptions.OverloadedError:
+    if failure.code == exceptions.OverloadedError.code:
         return exceptions.OverloadedError(
             failure.message, step=failure.step, peer=peer, retry_after=failure.retry_after
         )
-    if kind in (exceptions.SettingsError, exceptions.DeploymentError):
-        return kind([failure.message])
-    if kind is exceptions.RevisionConflictError:
-        kind = VerbenaError
+    if failure.code == exceptions.BackendRefusedError.code:
+        return exceptions.BackendRefusedError(failure.message, peer)
+    kind = _PLAIN_ERROR_BY_CODE.get(failure.code, VerbenaError)
     return kind(
         failure.message, step=failure.step, peer=failure.hint or peer, not_run=failure.not_run
     )
@@ -102,7 +103,6 @@
         self._heard = clock()
         self._epoch = ""
         self._tasks: set[asyncio.Task[Any]] = set()
-        self.replaced = 0
         self._receiver = misc.spawn(self._receive(self._socket), self._tasks)
         misc.spawn(self._watch(), self._tasks)
 
@@ -199,7 +199,6 @@
 
     async def _replace(self) -> None:
         logs.info(Event.LINK_SILENT, peer=self.address, calls=len(self._answers_by_call))
-        self.replaced += 1
         await misc.cancel_and_wait(self._receiver)
         self._socket.close(linger=0)
         self._socket = self._connect()
--- a/verbenashore/machine.py
+++ b/verbenashore/machine.py
@@ -5,8 +5,9 @@
 
 import msgspec
 
-from verbenashore import control, jobs, requests
+from verbenashore import control, files, jobs, requests
 from verbenashore.control import ControlState
+from verbenashore.files import FileBook
 from verbenashore.jobs import JobBook
 from verbenashore.requests import RequestBook
 from verbenashore.types import GroupId, JobState, MemberName
@@ -34,9 +35,9 @@
     | requests.CompleteRequest
     | requests.AbandonRequest
     | requests.ReleaseRequest
-    | jobs.CreateFile
-    | jobs.AppendFile
-    | jobs.SealFile
+    | files.CreateFile
+    | files.AppendFile
+    | files.SealFile
     | jobs.CreateJob
     | jobs.AddItems
     | jobs.SealJob
@@ -53,10 +54,10 @@
 
 Result = (
     requests.RequestView
-    | jobs.FileView
+    | files.FileView
     | jobs.JobView
     | jobs.LeasedItems
-    | jobs.Done
+    | files.Done
     | control.ChangeResult
     | control.BackendLease
     | None
@@ -80,6 +81,7 @@
     time: float = 0.0
     applied: int = 0
     requests: RequestBook = msgspec.field(default_factory=RequestBook)
+    files: FileBook = msgspec.field(default_factory=FileBook)
     jobs: JobBook = msgspec.field(default_factory=JobBook)
     control: ControlState = msgspec.field(default_factory=ControlState)
 
@@ -121,7 +123,7 @@
         if job.state is JobState.LOADING
     }
     uploading = {
-        record.announced.holder for record in state.jobs.file_by_id.values() if not record.sealed
+        record.announced.holder for record in state.files.file_by_id.values() if not record.sealed
     }
     found = of_requests | of_items | loading | uploading | control.holders(state.control)
     return found - {MemberName("")}
@@ -129,20 +131,26 @@
 
 def time_is_due(state: GroupState, now: float) -> bool:
     """Tells whether an :class:`Advance` at some ledger time would change something."""
-    return requests.has_ended_records(state.requests, now) or jobs.has_expired(state.jobs, now)
+    return (
+        requests.has_ended_records(state.requests, now)
+        or files.has_expired(state.files, now)
+        or jobs.has_expired(state.jobs, now)
+    )
 
 
 def _end_session(state: GroupState, command: ExpireHolder | ReleaseHolder) -> Result:
     requests.release_holder(state.requests, command.holder, state.time)
+    files.release_holder(state.files, command.holder)
     jobs.release_holder(state.jobs, command.holder, state.time)
     control.release_holder(state.control, command.holder)
-    return jobs.Done()
+    return files.Done()
 
 
 def _advance(state: GroupState, command: Advance) -> Result:
     requests.purge(state.requests, state.time)
+    files.expire(state.files, state.time)
     jobs.expire(state.jobs, state.time)
-    return jobs.Done()
+    return files.Done()
 
 
 _HANDLERS: dict[type, Callable] = {
@@ -151,9 +159,9 @@
     requests.CompleteRequest: lambda s, c: requests.complete(s.requests, c, s.time),
     requests.AbandonRequest: lambda s, c: requests.abandon(s.requests, c, s.time),
     requests.ReleaseRequest: lambda s, c: requests.release(s.requests, c, s.time),
-    jobs.CreateFile: lambda s, c: jobs.create_file(s.jobs, c),
-    jobs.AppendFile: lambda s, c: jobs.append_file(s.jobs, c),
-    jobs.SealFile: lambda s, c: jobs.seal_file(s.jobs, c, s.time),
+    files.CreateFile: lambda s, c: files.create_file(s.files, c),
+    files.AppendFile: lambda s, c: files.append_file(s.files, c),
+    files.SealFile: lambda s, c: files.seal_file(s.files, c, s.time),
     jobs.CreateJob: lambda s, c: jobs.create_job(s.jobs, c),
     jobs.AddItems: lambda s, c: jobs.add_items(s.jobs, c),
     jobs.SealJob: lambda s, c: jobs.seal_job(s.jobs, c, s.time),
@@ -162,7 +170,7 @@
     jobs.CompleteItems: lambda s, c: jobs.complete_items(s.jobs, c, s.time),
     control.ApplyChange: lambda s, c: control.apply_change(s.control, c),
     control.LeaseBackend: lambda s, c: control.lease_backend(s.control, c, s.applied),
-    control.LoadPermit: lambda s, c: jobs.Done(control.load_permit(s.control, c)),
+    control.LoadPermit: lambda s, c: files.Done(control.load_permit(s.control, c)),
     ExpireHolder: _end_session,
     ReleaseHolder: _end_session,
     Advance: _advance,
--- a/verbenashore/messages.py
+++ b/verbenashore/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from verbenashore import consensus, control, jobs, machine, requests
+from verbenashore import control, files, jobs, machine, replication, requests
 from verbenashore.types import (
     BackendName,
     FileId,
@@ -54,7 +54,7 @@
     """A consensus message of one group."""
 
     group: GroupId
-    packet: consensus.Packet
+    packet: replication.Packet
 
 
 class AskIdentity(msgspec.Struct, frozen=True, array_like=True, tag="ask_identity"):
@@ -70,7 +70,7 @@
     """
 
     group: GroupId
-    peer: consensus.Peer
+    peer: replication.Peer
     formed: bool
     leader: str
 
@@ -79,7 +79,7 @@
     """Asks the leader to take a replica in as a learner."""
 
     group: GroupId
-    peer: consensus.Peer
+    peer: replication.Peer
 
 
 class Propose(msgspec.Struct, frozen=True, array_like=True, tag="propose"):
@@ -186,7 +186,7 @@
 class Files(msgspec.Struct, frozen=True, array_like=True, tag="files"):
     """The files of a workspace."""
 
-    files: list[jobs.FileView]
+    files: list[files.FileView]
 
 
 class ReadHistory(msgspec.Struct, frozen=True, array_like=True, tag="read_history"):
@@ -403,8 +403,8 @@
     | CallAnswer
     | requests.RequestView
     | jobs.JobView
-    | jobs.FileView
-    | jobs.Done
+    | files.FileView
+    | files.Done
 )
 
 
--- a/verbenashore/orders.py
+++ b/verbenashore/orders.py
@@ -2,13 +2,13 @@
 
 import asyncio
 
-from verbenashore import engine, logs
+from verbenashore import deployment, engine, logs
 from verbenashore.client import GroupClient
 from verbenashore.control import BackendLease, LeaseBackend, LoadPermit
 from verbenashore.deployment import Backend, Model
 from verbenashore.engine import EngineState, Order
 from verbenashore.exceptions import VerbenaError
-from verbenashore.jobs import Done
+from verbenashore.files import Done
 from verbenashore.logs import Event
 from verbenashore.process import Process
 from verbenashore.types import BackendName, MemberName
@@ -53,17 +53,13 @@
         while True:
             try:
                 await self._lease_backend()
-                backend = self._configured()
+                backend = deployment.find_backend(self._view.deployment, self._backend_name)
                 if backend is not None and backend.models and self.owns_backend:
                     await self._bring_models(backend)
             except VerbenaError as error:
                 logs.warning(Event.BACKEND_FAILED, step=error.step, error=error.message)
             await asyncio.sleep(CHECK_SECONDS)
 
-    def _configured(self) -> Backend | None:
-        found = [b for b in self._view.deployment.backend if b.name == self._backend_name]
-        return found[0] if found else None
-
     def _is_certain(self) -> bool:
         """True while the lease can't have passed to a successor before an order is answered."""
         confirmed = min(self._checked_at, self._view.confirmed_at)
--- a/verbenashore/placement.py
+++ b/verbenashore/placement.py
@@ -33,7 +33,8 @@
     backend: BackendName
     address: str
     slots: int
-    is_near: bool
+    data_centre: str
+    region: str
     models: frozenset[str]
     service: str
     outstanding: int = 0
@@ -43,12 +44,21 @@
     outstanding_by_workspace: Counter[WorkspaceId] = msgspec.field(default_factory=Counter)
 
 
+class Place(msgspec.Struct, frozen=True):
+    """Where a process runs."""
+
+    data_centre: str
+    region: str
+
+
 class Placement(msgspec.Struct):
     """What an entry knows of all agents that it may choose.
 
+    :param region: the entry's own.
     :param baseline: the plain policy: one after the other.
     """
 
+    region: str = "default"
     baseline: bool = False
     target_by_name: dict[MemberName, Target] = msgspec.field(default_factory=dict)
     turn: int = 0
@@ -98,7 +108,7 @@
     least = min(
         fast,
         key=lambda target: (
-            min(1.0, _load(target, now)),
+            min(1.0, _distant_load(placement, target, now)),
             target.outstanding_by_workspace[workspace],
             _affinity(target, prefix),
         ),
@@ -106,8 +116,8 @@
     if not prefix:
         return least
     affine = min(fast, key=lambda target: _affinity(target, prefix))
-    bound = min(_load(least, now) + AFFINITY_SLACK, AFFINITY_LIMIT)
-    return affine if _load(affine, now) <= bound else least
+    bound = min(_distant_load(placement, least, now) + AFFINITY_SLACK, AFFINITY_LIMIT)
+    return affine if _distant_load(placement, affine, now) <= bound else least
 
 
 def is_usable(target: Target, now: float) -> bool:
@@ -153,14 +163,40 @@
     target.avoid_until = now + AVOID_SECONDS
 
 
-def to_target(member: Member, slots: int, models: list[str], service: str, region: str) -> Target:
+def subset(targets: list[Target], entry: str, place: Place, size: int) -> list[Target]:
+    """Chooses the agents that an entry uses of each service, the nearest first.
+
+    Entries of one data centre differ in the order of their names' hashes, so that together they
+    use all agents; an agent that comes or goes changes one place of each list.
+
+    :param size: how many of each service.
+    """
+    ordered = sorted(
+        targets,
+        key=lambda target: (
+            target.region != place.region,
+            target.data_centre != place.data_centre,
+            misc.quick_hash(f"{entry}/{target.name}"),
+        ),
+    )
+    taken: Counter[str] = Counter()
+    chosen = []
+    for target in ordered:
+        if taken[target.service] < size:
+            taken[target.service] += 1
+            chosen.append(target)
+    return chosen
+
+
+def to_target(member: Member, slots: int, models: list[str], service: str) -> Target:
     """Returns what is known of an agent that was never used."""
     return Target(
         member.name,
         member.backend,
         member.address,
         slots,
-        member.region == region,
+        member.data_centre,
+        member.region,
         frozenset(models),
         service,
     )
@@ -169,7 +205,13 @@
 def _load(target: Target, now: float) -> float:
     own = target.outstanding / target.slots
     reported = target.reported if now - target.reported_at < REPORT_SECONDS else 0.0
-    return max(own, reported) + (0.0 if target.is_near else DISTANCE_LOAD)
+    return max(own, reported)
+
+
+def _distant_load(placement: Placement, target: Target, now: float) -> float:
+    """Returns an agent's load, and more for one in another region."""
+    distance = 0.0 if target.region == placement.region else DISTANCE_LOAD
+    return _load(target, now) + distance
 
 
 def _affinity(target: Target, prefix: str) -> int:
--- a/verbenashore/replay.py
+++ b/verbenashore/replay.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from verbenashore import machine
-from verbenashore.consensus import LogEntry
 from verbenashore.exceptions import ReplayMismatchError
 from verbenashore.machine import GroupState
+from verbenashore.replication import LogEntry
 from verbenashore.types import GroupId, RequestState
 
 
--- a/verbenashore/replica.py
+++ b/verbenashore/replica.py
@@ -8,15 +8,15 @@
 
 import msgspec
 
-from verbenashore import consensus, logs, machine, misc, storage
-from verbenashore.consensus import EntryKind, LogEntry, Packet, Peer, Role, SnapshotRequest
+from verbenashore import consensus, logs, machine, misc, repair, replication, storage
+from verbenashore.consensus import Role
 from verbenashore.exceptions import NotLeaderError, UnavailableError
 from verbenashore.logs import Event
 from verbenashore.machine import Command, Result
+from verbenashore.replication import EntryKind, LogEntry, Packet, Peer, SnapshotRequest
 from verbenashore.types import Clock, GroupId, LogIndex, MemberName
 
 TICK_SECONDS = 0.02
-SNAPSHOT_LOG_BYTES = 16 << 20
 
 
 class Proposal(msgspec.Struct):
@@ -53,6 +53,7 @@
 
     :param send: sends a packet to a peer.
     :param size: how many voters the group should have.
+    :param snapshot_bytes: bytes of log after which a snapshot is taken.
     :param trace: file to which committed commands are added; none if empty.
     """
 
@@ -61,14 +62,16 @@
         group: GroupId,
         own: tuple[MemberName, str],
         path: Path,
-        timing: consensus.Timing,
+        timing: replication.Timing,
         clock: Clock,
         send: Callable[[Peer, Packet], None],
         size: int,
+        snapshot_bytes: int,
         trace: str,
     ) -> None:
         self.group = group
         self.size = size
+        self._snapshot_bytes = snapshot_bytes
         self._clock = clock
         self._send = send
         self._trace = Path(f"{trace}.{group}") if trace else None
@@ -216,9 +219,9 @@
         if found == peer:
             return
         if found is None:
-            changed = consensus.with_learner(known, peer)
+            changed = repair.with_learner(known, peer)
         else:
-            changed = consensus.Membership(
+            changed = replication.Membership(
                 tuple(peer if voter.id == peer.id else voter for voter in known.voters),
                 tuple(peer if other.id == peer.id else other for other in known.learners),
             )
@@ -242,7 +245,7 @@
             self.leader_known.clear()
         self._was_serving = serving
         self._was_leader = leading
-        change = consensus.next_change(self.core, self.size, self._clock())
+        change = repair.next_change(self.core, self.size, self._clock())
         if change is not None:
             names = [peer.name for peer in change.voters]
             logs.info(Event.REPLICA_REMOVED, group=self.group, voters=names)
@@ -315,7 +318,7 @@
         logs.info(Event.SNAPSHOT_INSTALLED, group=self.group, index=request.base.index)
 
     def _snapshot_if_due(self) -> None:
-        limit = max(SNAPSHOT_LOG_BYTES, len(self._snapshot.data))
+        limit = max(self._snapshot_bytes, len(self._snapshot.data))
         if self._snapshotting or self._log_bytes < limit or not self.state.applied:
             return
         self._snapshotting = True
--- /dev/null
+++ b/verbenashore/replication.py
@@ -0,0 +1,164 @@
+"""The records and messages of the replicated log."""
+
+from enum import Enum
+
+import msgspec
+
+from verbenashore.types import LogIndex, MemberName, ReplicaId, Term
+
+NOBODY = ReplicaId("")
+
+
+class Timing(msgspec.Struct, frozen=True):
+    """The times that a replica goes by, in seconds.
+
+    :param heartbeat: between two messages of a leader to a follower.
+    :param election_min: a follower that heard its leader within this time grants no vote.
+    :param election_max: the longest time after which a follower campaigns.
+    :param lease: how long a quorum's answer lets a leader answer reads; under ``election_min``.
+    :param replace_after: how long a replica is silent before a learner takes its place.
+    """
+
+    heartbeat: float = 0.06
+    election_min: float = 0.4
+    election_max: float = 0.75
+    lease: float = 0.3
+    replace_after: float = 10.0
+
+
+class EntryKind(Enum):
+    """What a log entry holds."""
+
+    NOOP = 0
+    COMMAND = 1
+    MEMBERSHIP = 2
+
+
+class Peer(msgspec.Struct, frozen=True, array_like=True):
+    """One replica of a group.
+
+    :param id: made with its data folder.
+    :param name: the process that runs it.
+    :param address: ``IP:PORT`` of that process.
+    """
+
+    id: ReplicaId
+    name: MemberName
+    address: str
+
+
+class Membership(msgspec.Struct, frozen=True, array_like=True):
+    """The replicas of a group.
+
+    :param voters: those that count in quorums.
+    :param learners: those that only receive the log.
+    """
+
+    voters: tuple[Peer, ...] = ()
+    learners: tuple[Peer, ...] = ()
+
+
+class LogEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One entry of the log.
+
+    :param index: its position; the first entry has 1.
+    :param term: the term of the leader that made it.
+    """
+
+    index: LogIndex
+    term: Term
+    kind: EntryKind
+    data: bytes
+
+
+class HardState(msgspec.Struct, frozen=True, array_like=True):
+    """What a replica must not forget.
+
+    :param term: the latest term it has seen.
+    :param vote: whom it voted for in that term.
+    """
+
+    term: Term = Term(0)
+    vote: ReplicaId = NOBODY
+
+
+class Base(msgspec.Struct, frozen=True, array_like=True):
+    """The point up to which a snapshot stands for the log."""
+
+    index: LogIndex = LogIndex(0)
+    term: Term = Term(0)
+    membership: Membership = Membership()
+
+
+class VoteRequest(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Asks for a vote.
+
+    :param trial: a pre-vote, which changes no term.
+    :param handover: the leader asked for this election, so its lease doesn't stand against it.
+    """
+
+    term: Term
+    last_index: LogIndex
+    last_term: Term
+    trial: bool
+    handover: bool
+
+
+class VoteReply(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Answers a vote request."""
+
+    term: Term
+    trial: bool
+    granted: bool
+
+
+class AppendRequest(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Carries entries, or none as a heartbeat.
+
+    :param sent_at: the leader's own clock, which the reply gives back.
+    """
+
+    term: Term
+    previous_index: LogIndex
+    previous_term: Term
+    entries: list[LogEntry]
+    commit: LogIndex
+    sent_at: float
+
+
+class AppendReply(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Answers an append or a snapshot.
+
+    :param match: the last index known to agree, or where to try next if not ``ok``.
+    """
+
+    term: Term
+    ok: bool
+    match: LogIndex
+    sent_at: float
+
+
+class SnapshotRequest(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Carries a snapshot; the runtime fills in its data."""
+
+    term: Term
+    base: Base
+    data: bytes
+    sent_at: float
+
+
+class HandoverRequest(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Tells a follower to campaign at once."""
+
+    term: Term
+
+
+Message = VoteRequest | VoteReply | AppendRequest | AppendReply | SnapshotRequest | HandoverRequest
+
+
+class Packet(msgspec.Struct, frozen=True, array_like=True):
+    """A message on its way between two replicas."""
+
+    sender: ReplicaId
+    to: ReplicaId
+    message: Message
--- a/verbenashore/storage.py
+++ b/verbenashore/storage.py
@@ -7,9 +7,9 @@
 import msgspec
 from crc32c import crc32c
 
-from verbenashore.consensus import Base, HardState, LogEntry
 from verbenashore.exceptions import StorageError
 from verbenashore.misc import random_id
+from verbenashore.replication import Base, HardState, LogEntry
 from verbenashore.types import ReplicaId
 
 MAGIC = b"\xf1VR1"
--- a/verbenashore/streams.py
+++ b/verbenashore/streams.py
@@ -42,6 +42,7 @@
 #: Moves that can be saved up: a slow engine stalls all its streams at once.
 SAVED_MOVES = 32.0
 ROOM_SECONDS = 0.1
+RETRY_PAUSE_SECONDS = 0.2
 PACE_SECONDS = 3.0
 
 
@@ -266,6 +267,10 @@
                     self._inbox.put_nowait((attempt, part))
         except VerbenaError as error:
             self._inbox.put_nowait((attempt, Ended(error)))
+        except Exception as error:
+            # A fault of ours must end the attempt too, or its caller would wait for ever.
+            logs.warning(Event.HANDLER_FAILED, call="RunModel", error=repr(error))
+            self._inbox.put_nowait((attempt, Ended(BackendError(repr(error), step="stream"))))
         finally:
             placement.note_end(attempt.target, self._workspace)
 
@@ -331,10 +336,11 @@
             await self._wait_for_room()
         elif self._refusals >= MAX_REFUSALS:
             raise error
-        if self._failures >= MAX_FAILURES or (
-            not refused and not limits.spend(self._runner.budget)
-        ):
+        if self._failures >= MAX_FAILURES:
             raise UnavailableError(error.message, step="stream", peer=attempt.target.name)
+        if not refused and not limits.spend(self._runner.budget):
+            # An accepted request is not given up for the budget's sake, only slowed down.
+            await asyncio.sleep(RETRY_PAUSE_SECONDS)
         self._launch_or_fail(error)
 
     async def _wait_for_room(self) -> None:
--- a/verbenashore/types.py
+++ b/verbenashore/types.py
@@ -46,7 +46,6 @@
 
     SERVING = "serving"
     DRAINING = "draining"
-    GONE = "gone"
 
 
 class ServiceKind(Enum):
@@ -82,7 +81,6 @@
 
     LOADING = "validating"
     RUNNING = "in_progress"
-    CANCELLING = "cancelling"
     COMPLETED = "completed"
     CANCELLED = "cancelled"
     EXPIRED = "expired"
