--- a/lab/mutants.py
+++ b/lab/mutants.py
@@ -33,6 +33,8 @@
 CONSENSUS = "tests/test_consensus.py"
 MACHINE = "tests/test_machine.py"
 STORAGE = "tests/test_storage.py"
+ADMISSION = "tests/test_admission.py"
+PLACEMENT = "tests/test_placement.py"
 
 MUTANTS = (
     Mutant(
@@ -175,6 +177,62 @@
         "if False:",
         STORAGE,
     ),
+    Mutant(
+        "batch work never yields",
+        "admission.py",
+        "return [run.piece.id for run in batch[:wanted]]",
+        "return []",
+        ADMISSION,
+    ),
+    Mutant(
+        "long pieces take every slot",
+        "admission.py",
+        "if _long_running(state, work_class) < _long_slots(state):",
+        "if True:",
+        ADMISSION,
+    ),
+    Mutant(
+        "one workspace takes every slot",
+        "admission.py",
+        "return max(even, state.slots - sum(others) - SPARE_SLOTS)",
+        "return state.slots",
+        ADMISSION,
+    ),
+    Mutant(
+        "overdue pieces stay",
+        "admission.py",
+        "state.waiting.remove(piece)\n    return late",
+        "pass\n    return late",
+        ADMISSION,
+    ),
+    Mutant(
+        "a slow start passes for the usual pace",
+        "admission.py",
+        "weight = INTERVAL_WEIGHT if interval < state.usual else USUAL_WEIGHT",
+        "weight = USUAL_WEIGHT",
+        ADMISSION,
+    ),
+    Mutant(
+        "affinity goes before load",
+        "placement.py",
+        "return affine if _distant_load(placement, affine, now) <= bound else least",
+        "return affine",
+        PLACEMENT,
+    ),
+    Mutant(
+        "slow agents are not avoided",
+        "placement.py",
+        "fast = [target for target in able if target.avoid_until <= now] or able",
+        "fast = able",
+        PLACEMENT,
+    ),
+    Mutant(
+        "retries without a bound",
+        "limits.py",
+        "if budget.left < 1:",
+        "if False:",
+        PLACEMENT,
+    ),
 )
 
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,5 +1,6 @@
 """Ledger replicas as processes: kills, freezes, silent links, emptied disks, racing operators."""
 
+import json
 import shutil
 import signal
 import threading
@@ -12,6 +13,7 @@
 from verbenashore.remote import RemoteError
 
 SHARD = 1
+MOST_BATCHES = 8
 
 
 @pytest.fixture(scope="module")
@@ -29,6 +31,24 @@
     return fleet.client("depots-key").ask_json("POST", CHAT, chat(prompt, 3))
 
 
+def last_index(fleet, name):
+    """Returns the last index of a replica of the shard."""
+    ledgers = fleet.client(OPERATOR_KEY).status()["ledgers"]
+    groups = next(ledger["groups"] for ledger in ledgers if ledger.get("name") == name)
+    return next(group["last"] for group in groups if group["group"] == SHARD)
+
+
+def newest_snapshot(fleet, name):
+    """Returns the index of the newest snapshot that a replica of the shard has written."""
+    events = [json.loads(line) for line in fleet.log(name).splitlines() if line.startswith("{")]
+    written = [
+        event["index"]
+        for event in events
+        if event["name"] == "snapshot_written" and event["group"] == SHARD
+    ]
+    return max(written, default=0)
+
+
 def wait_for_ledgers(fleet):
     """Waits until every ledger process answers."""
 
@@ -160,12 +180,19 @@
         fleet.terminate(name)
         fleet.start_ledger(name, "--snapshot-bytes", "30000")
     kept = wait_until(lambda: answer_once(fleet, "before"), 10, "an answer")
-    late = next(name for name in fleet.ledger_names if name != fleet.leader(SHARD))
+    leader = wait_until(lambda: fleet.leader(SHARD), 10, "a leader")
+    late = next(name for name in fleet.ledger_names if name != leader)
     fleet.kill(late)
+    reached = last_index(fleet, leader)
     mills = fleet.client("mills-key")
-    batch = mills.submit(batch_file(400, tokens=2), "many.jsonl", CHAT, "24h")
-    ended = mills.wait(batch["id"], 40)
-    assert outcomes(mills, ended) == right_outcomes(400, tokens=2)
+    for number in range(MOST_BATCHES):
+        prefix = f"many-{number}"
+        batch = mills.submit(batch_file(400, 2, prefix), f"{prefix}.jsonl", CHAT, "24h")
+        ended = mills.wait(batch["id"], 40)
+        assert outcomes(mills, ended) == right_outcomes(400, 2, prefix)
+        if newest_snapshot(fleet, leader) > reached:
+            break
+    assert newest_snapshot(fleet, leader) > reached
     fleet.restart(late)
     wait_until(lambda: '"snapshot_installed", "group": 1' in fleet.log(late), 10, "a snapshot")
     others = [name for name in fleet.ledger_names if name != late]
