End no answer with a part that follows a lost one

Cause, seen red first (test_streams, a_part_that_was_lost): a last part out of its place ended the stream, and what was missing before it went unnoticed. Change: only a part that was taken in ends a stream; scripted agents test the runner. Ruled out: that the link itself loses nothing; it drops what does not fit into its queue. Conclusion: a truncated answer is resumed, not passed on.

--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,98 @@
+"""One generation over several agents: each token once, in order, and none missing unnoticed."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from verbenashore import completions, placement
+from verbenashore.deployment import OnlinePolicy
+from verbenashore.exceptions import BackendError, OverloadedError, UnavailableError
+from verbenashore.messages import AgentLoad, TokenChunk
+from verbenashore.placement import Placement, Target
+from verbenashore.streams import StreamRunner
+
+LOAD = AgentLoad(0.0, 1.0)
+
+
+class Agents:
+    """Links to agents that play scripts: chunks, errors, or pauses in seconds."""
+
+    def __init__(self, *scripts):
+        self.calls = []
+        self._scripts = itertools.chain(scripts, itertools.repeat([]))
+
+    def to(self, address):
+        """Returns the link to an agent, which is this object."""
+        return self
+
+    async def stream(self, call, seconds):
+        """Plays the next script."""
+        self.calls.append(call)
+        for step in next(self._scripts):
+            if isinstance(step, Exception):
+                raise step
+            if isinstance(step, float):
+                await asyncio.sleep(step)
+            else:
+                yield step
+
+
+def part(position, text, finish=""):
+    """Returns a part of one token."""
+    return TokenChunk(position, text, 1, finish, 0, 0, LOAD)
+
+
+def run(agents, **options):
+    """Runs a generation over three agents and returns its text."""
+    known = Placement()
+    names = ["a", "b", "c"]
+    made = [Target(name, name, name, 8, "d", "default", frozenset({"m"}), "s") for name in names]
+    placement.update(known, made)
+    call = completions.parse_call("/v1/completions", b'{"model": "m", "prompt": "p"}')
+
+    async def read():
+        runner = StreamRunner(agents, known, asyncio.get_running_loop().time)
+        policy = OnlinePolicy(**options)
+        parts = runner.run("r", "w", "s", call, policy)
+        return "".join([one.text async for one in parts])
+
+    return asyncio.run(read())
+
+
+def test_a_lost_agents_stream_goes_on_from_its_text():
+    lost = BackendError("gone", step="stream")
+    agents = Agents([part(0, "x"), part(1, "y"), lost], [part(0, "z", "stop")])
+    assert run(agents) == "xyz"
+    assert (agents.calls[1].resume_text, agents.calls[1].resume_tokens) == ("xy", 2)
+
+
+def test_a_part_that_was_lost_is_not_skipped_even_before_the_last():
+    agents = Agents([part(0, "x"), part(2, "z", "stop")], [part(0, "y"), part(1, "z", "stop")])
+    assert run(agents) == "xyz"
+    assert agents.calls[1].resume_text == "x"
+
+
+def test_a_stalled_stream_is_moved_and_its_late_parts_are_dropped():
+    agents = Agents([part(0, "x"), 5.0, part(1, "late", "stop")], [part(0, "y", "stop")])
+    assert run(agents) == "xy"
+
+
+def test_of_two_first_tokens_one_counts():
+    agents = Agents([1.0, part(0, "slow", "stop")], [part(0, "fast", "stop")])
+    assert run(agents, first_token_seconds=0.2) == "fast"
+
+
+def test_a_refusal_is_tried_elsewhere_and_then_passed_on():
+    full = OverloadedError("full", step="admit")
+    assert run(Agents([full], [part(0, "x", "stop")])) == "x"
+    with pytest.raises(OverloadedError) as refused:
+        run(Agents([full], [full], [full]))
+    assert refused.value.not_run
+
+
+def test_a_generation_that_fails_everywhere_is_not_called_unrun():
+    lost = BackendError("gone", step="stream")
+    with pytest.raises(UnavailableError) as failed:
+        run(Agents([lost], [lost], [lost]))
+    assert not failed.value.not_run
--- a/verbenashore/streams.py
+++ b/verbenashore/streams.py
@@ -180,8 +180,8 @@
                 if isinstance(item, Ended):
                     await self._on_end(attempt, item.error)
                     continue
-                finished = bool(item.finish)
                 if self._take(attempt, item):
+                    finished = bool(item.finish)
                     yield item
         finally:
             await self._cancel(list(self._attempts.values()))
@@ -285,7 +285,7 @@
         return self._policy.deadline_seconds
 
     def _take(self, attempt: Attempt, part: TokenChunk) -> bool:
-        """Takes in a part; false if it repeats what came from another attempt."""
+        """Takes in a part; false if one before it was lost, which ends the attempt."""
         now = self._runner.clock()
         placement.note_report(attempt.target, part.load, now)
         if part.position != attempt.position:
