Call nothing unrun that may have run

Cause, each seen red first: a stream that failed at one agent and was refused by the next ended with the refusal's not_run (test_streams, may_have_run); a lookup that three agents had sent to frozen services did too (test_agent, lookup_that: overloaded, not_run true); an attempt that ended without its last part left its caller waiting (test_streams, ends_without: timeout). Change: a stream and a repeatable call remember whether any attempt may have run; an attempt that ends early is a failure. Ruled out: the calls that may not be repeated; there a committed claim proves it. Conclusion: not_run is said with proof only.

--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -15,10 +15,15 @@
 POST = "/v1/services/credits/accounts/7"
 
 
+def with_short_progress(text):
+    """Returns a deployment in which a backend server's silence is noticed after two seconds."""
+    return text.replace("[online]", "[online]\nprogress_seconds = 2.0")
+
+
 @pytest.fixture(scope="module")
 def fleet():
     """The association's deployment of today, with relays before one engine and one agent."""
-    running = Fleet("association.toml")
+    running = Fleet("association.toml", change=with_short_progress)
     running.relay_before_backend("engine-3")
     running.start_relay("agent-engine-4")
     with running:
@@ -133,6 +138,17 @@
     assert posts(fleet).get("slip-lost", 0) <= 1
 
 
+def test_a_lookup_that_may_have_run_is_not_called_unrun(fleet):
+    for number in (1, 2, 3):
+        fleet.signal(f"credits-{number}", signal.SIGSTOP)
+    with pytest.raises(RemoteError) as failed:
+        fleet.client("cleaners-key").ask_json("GET", POST)
+    for number in (1, 2, 3):
+        fleet.signal(f"credits-{number}", signal.SIGCONT)
+    assert failed.value.code == "unavailable" and not failed.value.not_run
+    wait_until(lambda: fleet.client("cleaners-key").ask_json("GET", POST), 15, "a lookup")
+
+
 def test_a_stopping_agent_cuts_off_no_stream(fleet):
     with Streams(fleet, tokens=60) as streams:
         time.sleep(0.5)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -22,6 +22,8 @@
         self.calls = []
         self._scripts = itertools.chain(scripts, itertools.repeat([]))
 
+    address = "script"
+
     def to(self, address):
         """Returns the link to an agent, which is this object."""
         return self
@@ -96,3 +98,17 @@
     with pytest.raises(UnavailableError) as failed:
         run(Agents([lost], [lost], [lost]))
     assert not failed.value.not_run
+
+
+def test_what_one_agent_may_have_run_is_not_called_unrun_for_anothers_refusal():
+    lost, full = BackendError("gone", step="stream"), OverloadedError("full", step="admit")
+    with pytest.raises(UnavailableError) as failed:
+        run(Agents([lost], [full], [full]))
+    assert not failed.value.not_run
+
+
+def test_an_attempt_that_ends_without_its_last_part_is_a_failure():
+    full = OverloadedError("full", step="admit")
+    with pytest.raises(UnavailableError) as failed:
+        run(Agents([0.4], [full], [full]), first_token_seconds=0.2)
+    assert not failed.value.not_run
--- a/verbenashore/online.py
+++ b/verbenashore/online.py
@@ -328,6 +328,7 @@
     async def _run_call(self, shard: GroupClient, call: RunCall) -> Answer | None:
         """Runs a call at one agent after the other; None if another process runs it."""
         excluded: set[MemberName] = set()
+        may_have_run = False
         error: VerbenaError = OverloadedError("no agent serves this now", step="place")
         for _ in range(MAX_CALL_ATTEMPTS):
             agent = placement.choose(
@@ -347,8 +348,12 @@
                 raise
             except VerbenaError as failure:
                 error = failure
+                may_have_run = may_have_run or not failure.not_run
                 excluded.add(agent.name)
                 placement.note_slow(agent, self._process.clock())
+        if call.repeatable and may_have_run:
+            # No claim proves that it was not run.
+            raise UnavailableError(error.message, step=error.step, peer=error.peer)
         return await self._give_up(shard, call.record, error)
 
     async def _call_agent(self, shard: GroupClient, agent: Target, call: RunCall) -> Answer | None:
--- a/verbenashore/streams.py
+++ b/verbenashore/streams.py
@@ -163,6 +163,7 @@
         self._attempts: dict[int, Attempt] = {}
         self._excluded: set[MemberName] = set()
         self._refusals = 0
+        self._may_have_run = False
         self._failures = 0
         self._hedged = False
         self._started = runner.clock()
@@ -235,9 +236,14 @@
         if target is not None:
             self._launch(target)
         elif not self._attempts:
-            if error is not None:
-                raise error
-            raise OverloadedError("no agent serves this model now", step="place", retry_after=1.0)
+            nobody = OverloadedError("no agent serves this model now", step="place")
+            raise self._final(error or nobody)
+
+    def _final(self, error: VerbenaError) -> VerbenaError:
+        """Returns the error to end with; what may have run anywhere is not called unrun."""
+        if error.not_run and self._may_have_run:
+            return UnavailableError(error.message, step=error.step, peer=error.peer)
+        return error
 
     def _launch(self, target: Target) -> None:
         attempt = Attempt(next(self._numbers), target, self._tokens)
@@ -265,6 +271,8 @@
             async with contextlib.aclosing(answers):
                 async for part in answers:
                     self._inbox.put_nowait((attempt, part))
+            early = BackendError("the stream ended early", step="stream", peer=link.address)
+            self._inbox.put_nowait((attempt, Ended(early)))
         except VerbenaError as error:
             self._inbox.put_nowait((attempt, Ended(error)))
         except Exception as error:
@@ -312,18 +320,19 @@
         else:
             pace.first = _updated(pace.first, waited)
 
-    def _discard(self, attempt: Attempt) -> None:
+    def _discard(self, attempt: Attempt, *, refused: bool = False) -> None:
         del self._attempts[attempt.number]
+        self._may_have_run = self._may_have_run or not refused
         if attempt.task is not None:
             attempt.task.cancel()
 
     async def _on_end(self, attempt: Attempt, error: VerbenaError) -> None:
         """Deals with a failed attempt: goes on elsewhere while that is worthwhile."""
-        self._discard(attempt)
+        refused = isinstance(error, OverloadedError)
+        self._discard(attempt, refused=refused)
         if isinstance(error, BackendRefusedError):
             raise error
         self._excluded.add(attempt.target.name)
-        refused = isinstance(error, OverloadedError)
         self._refusals += refused
         self._failures += not refused
         if not refused:
@@ -335,7 +344,7 @@
         if refused and self._tokens:
             await self._wait_for_room()
         elif self._refusals >= MAX_REFUSALS:
-            raise error
+            raise self._final(error)
         if self._failures >= MAX_FAILURES:
             raise UnavailableError(error.message, step="stream", peer=attempt.target.name)
         if not refused and not limits.spend(self._runner.budget):
