Wait for every credit agent before the lookup test freezes their services

Change: the test first waits until lookups go through and every credit agent holds its backend server; what it asserts is unchanged. Conclusion: the order of the tests mattered, not the product.

--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -138,15 +138,24 @@
     assert posts(fleet).get("slip-lost", 0) <= 1
 
 
+def served_by_all(fleet, client):
+    """Tells whether lookups go through and every credit agent holds its backend server."""
+    names = [f"agent-credits-{number}" for number in (1, 2, 3)]
+    leased = [fleet.log(name).rpartition('"started"')[2] for name in names]
+    return client.ask_json("GET", POST) and all("backend_leased" in log for log in leased)
+
+
 def test_a_lookup_that_may_have_run_is_not_called_unrun(fleet):
+    cleaners = fleet.client("cleaners-key")
+    wait_until(lambda: served_by_all(fleet, cleaners), 20, "every credit service is in use")
     for number in (1, 2, 3):
         fleet.signal(f"credits-{number}", signal.SIGSTOP)
     with pytest.raises(RemoteError) as failed:
-        fleet.client("cleaners-key").ask_json("GET", POST)
+        cleaners.ask_json("GET", POST)
     for number in (1, 2, 3):
         fleet.signal(f"credits-{number}", signal.SIGCONT)
     assert failed.value.code == "unavailable" and not failed.value.not_run
-    wait_until(lambda: fleet.client("cleaners-key").ask_json("GET", POST), 15, "a lookup")
+    wait_until(lambda: cleaners.ask_json("GET", POST), 15, "a lookup")
 
 
 def test_a_stopping_agent_cuts_off_no_stream(fleet):
