Wait for readiness before callers are sent to a restarted entry

Change: the test waits for /readyz of each entry; its assertions are unchanged. Conclusion: a race of the test.

--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -170,6 +170,9 @@
     for name in names:
         fleet.restart(name)
     wait_until(lambda: fleet.client(OPERATOR_KEY).history() == before, 15, "the history")
+    # An entry that isn't ready refuses callers; the balancer would send them none.
+    for entry in fleet.entry_names:
+        wait_until(lambda e=entry: fleet.client("", e).ask_json("GET", "/readyz"), 15, "ready")
     ended = mills.wait(batch["id"], 30)
     assert outcomes(mills, ended) == right_outcomes(40, tokens=40)
     assert fleet.client("depots-key").result(kept["id"])["state"] == "completed"
