--- a/verbenashore/client.py
+++ b/verbenashore/client.py
@@ -63,6 +63,17 @@
         self._leader = addresses[0]
         self._unanswered_at: dict[str, float] = {}
 
+    def add_addresses(self, addresses: list[str]) -> None:
+        """Adds ledger processes that may run a replica."""
+        self._addresses += [address for address in addresses if address not in self._addresses]
+
+    def keep_addresses(self, addresses: list[str]) -> None:
+        """Replaces the ledger processes by those that the group's leader named."""
+        if addresses and set(addresses) != set(self._addresses):
+            self._addresses[:] = addresses
+            if self._leader not in addresses:
+                self._leader = addresses[0]
+
     async def propose(self, command: Command, seconds: float) -> Result:
         """Commits a command; it may be sent more than once, so commands must bear that.
 
@@ -73,9 +84,10 @@
             raise VerbenaError("unexpected answer", step="propose", peer=self._leader)
         return answer.result
 
-    async def ask(self, body: Body, seconds: float) -> Body:
+    async def ask(self, body: Body, seconds: float, wait: float = 0.0) -> Body:
         """Asks the leader, and looks for it while there is time.
 
+        :param wait: seconds that the leader may take before it answers.
         :raises UnavailableError: if no leader answered in time.
         """
         deadline = self._clock() + seconds
@@ -83,7 +95,7 @@
         while (left := deadline - self._clock()) > 0:
             address = self._leader
             try:
-                return await self._links.to(address).call(body, min(ATTEMPT_SECONDS, left))
+                return await self._links.to(address).call(body, min(ATTEMPT_SECONDS + wait, left))
             except NotLeaderError as error:
                 last = error
                 if self._follow(address, error.peer):
@@ -107,7 +119,8 @@
         For a moment after a leader's loss the others still name it.
         """
         unanswered = self._clock() - self._unanswered_at.get(hint, float("-inf"))
-        if hint in self._addresses and hint != address and unanswered > UNANSWERED_SECONDS:
+        if hint and hint != address and unanswered > UNANSWERED_SECONDS:
+            self.add_addresses([hint])
             self._leader = hint
             return True
         self._turn_from(address)
@@ -117,7 +130,7 @@
         """Looks elsewhere, unless another call has already done so."""
         if self._leader != address:
             return
-        position = self._addresses.index(address)
+        position = self._addresses.index(address) if address in self._addresses else 0
         others = [*self._addresses[position + 1 :], *self._addresses[:position]]
         alive = [other for other in others if not self._links.to(other).is_silent]
         self._leader = (alive or others or [address])[0]
--- a/verbenashore/control.py
+++ b/verbenashore/control.py
@@ -1,8 +1,17 @@
 """The control group's state: configuration, leases on backend servers, load permits."""
 
+import itertools
+
 import msgspec
 
-from verbenashore.types import BackendName, ChangeId, FencingNumber, MemberName, Revision
+from verbenashore.types import (
+    BackendName,
+    ChangeId,
+    FencingNumber,
+    MemberName,
+    ReplicaId,
+    Revision,
+)
 
 
 class ApplyChange(msgspec.Struct, frozen=True, array_like=True, tag="apply"):
@@ -21,6 +30,24 @@
     drained: list[MemberName]
 
 
+class ApplyVersion(msgspec.Struct, frozen=True, array_like=True, tag="apply_version"):
+    """Replaces the configuration if its version, which the operator chose, is the highest.
+
+    :param author: who sent it.
+    """
+
+    version: Revision
+    author: str
+    text: str
+
+
+class RetireReplicas(msgspec.Struct, frozen=True, array_like=True, tag="retire"):
+    """Marks the replicas of a process, which is to be emptied for good."""
+
+    name: MemberName
+    replicas: list[ReplicaId]
+
+
 class Change(msgspec.Struct, frozen=True, array_like=True, tag="change"):
     """One revision of the configuration.
 
@@ -91,9 +118,12 @@
     applied_by_change: dict[ChangeId, AppliedChange] = msgspec.field(default_factory=dict)
     lease_by_backend: dict[BackendName, BackendLease] = msgspec.field(default_factory=dict)
     permits: list[MemberName] = msgspec.field(default_factory=list)
+    retired_by_name: dict[MemberName, list[ReplicaId]] = msgspec.field(default_factory=dict)
 
 
 KEPT_REVISIONS = 200
+#: Versions whose text is kept; operators who choose versions keep the older ones themselves.
+KEPT_VERSIONS = 2
 KEPT_CHANGE_IDS = 50_000
 
 
@@ -123,6 +153,29 @@
     return ChangeResult(True, revision, command.change)
 
 
+def apply_version(state: ControlState, command: ApplyVersion) -> ChangeResult:
+    """Applies a version that is higher than the one in force; another one changes nothing."""
+    now = current(state)
+    if command.version <= now.revision:
+        return ChangeResult(False, now.revision, now.change)
+    change = ChangeId(f"version-{command.version}")
+    made = Change(command.version, change, command.author, command.text, [])
+    state.history.append(made)
+    del state.history[:-KEPT_VERSIONS]
+    return ChangeResult(True, command.version, change)
+
+
+def retire(state: ControlState, command: RetireReplicas) -> None:
+    """Marks replicas as retired; they are never taken in again."""
+    known = state.retired_by_name.setdefault(command.name, [])
+    known += [replica for replica in command.replicas if replica not in known]
+
+
+def retired(state: ControlState) -> frozenset[ReplicaId]:
+    """Returns all retired replicas."""
+    return frozenset(itertools.chain.from_iterable(state.retired_by_name.values()))
+
+
 def lease_backend(state: ControlState, command: LeaseBackend, index: int) -> BackendLease:
     """Grants a free backend server; the log index serves as the fencing number."""
     known = state.lease_by_backend.get(command.backend)
--- /dev/null
+++ b/verbenashore/dispatch.py
@@ -0,0 +1,221 @@
+"""Where a call goes, how long it waits for a place, and when it is refused; without I/O.
+
+The load that this answers: callers who want a first byte within some hundred milliseconds, on
+backend servers with a fixed number of slots that admit in order of arrival and know no classes.
+Waiting is therefore done here, and a server gets no more online calls than it has slots.
+"""
+
+import heapq
+import itertools
+import random
+from enum import Enum
+
+import msgspec
+
+from verbenashore.board import LoadBoard
+from verbenashore.directory import BackendEntry, Directory
+from verbenashore.types import BackendName, ServiceName
+
+#: Part of a call's objective that it may spend waiting for a place; the rest is for the server.
+WAIT_SHARE = 0.75
+#: Shortest and longest wait, in seconds, that a refused caller is told.
+MIN_RETRY_SECONDS = 0.2
+MAX_RETRY_SECONDS = 1.6
+#: Seconds for which a server that failed is passed over; doubles up to the second figure.
+SUSPEND_SECONDS = 0.4
+MAX_SUSPEND_SECONDS = 3.0
+#: Seconds for which a server that said that it is full gets nothing more.
+FULL_SECONDS = 0.05
+#: Weight of the newest call in the mean time that a service's calls take.
+HOLD_WEIGHT = 0.05
+#: Assumed time of a call in seconds before any was seen.
+FIRST_HOLD_SECONDS = 0.5
+
+
+class Verdict(Enum):
+    """What becomes of a ticket."""
+
+    GRANTED = "granted"
+    WAITING = "waiting"
+    REFUSED = "refused"
+
+
+class Ticket(msgspec.Struct, eq=False):
+    """One call that wants a place.
+
+    :param rank: lower ranks go first.
+    :param start_by: when it has to be at a server to be on time.
+    :param excluded: servers that it was sent to before.
+    :param due: true for a call that was begun elsewhere, which isn't refused for the queue.
+    """
+
+    id: str
+    service: ServiceName
+    rank: int
+    start_by: float
+    excluded: set[BackendName] = msgspec.field(default_factory=set)
+    begun: bool = False
+
+
+class Decision(msgspec.Struct, frozen=True):
+    """A verdict, with the server or the time to come back in."""
+
+    verdict: Verdict
+    server: BackendEntry | None = None
+    retry_after: float = 0.0
+    reason: str = ""
+
+
+class Health(msgspec.Struct):
+    """What calls showed of one server.
+
+    :param avoid_until: it gets nothing before this time.
+    :param failures: in a row.
+    """
+
+    avoid_until: float = float("-inf")
+    failures: int = 0
+
+
+WAITING = Decision(Verdict.WAITING)
+
+
+class Dispatcher:
+    """The tickets of one process that wait, and what it knows of the servers."""
+
+    def __init__(
+        self, directory: Directory, board: LoadBoard, data_centre: str, seed: int = 0
+    ) -> None:
+        self._directory = directory
+        self._board = board
+        self._data_centre = data_centre
+        self._random = random.Random(seed)
+        self._numbers = itertools.count()
+        self._waiting: list[tuple[int, float, int, Ticket]] = []
+        self._health_by_name: dict[BackendName, Health] = {}
+        self._hold_by_service: dict[ServiceName, float] = {}
+
+    @property
+    def waiting(self) -> int:
+        """How many tickets wait."""
+        return len(self._waiting)
+
+    def request(self, ticket: Ticket, now: float) -> Decision:
+        """Grants a place at once, lets the ticket wait, or refuses it."""
+        server = None if self._is_behind(ticket) else self.choose(ticket, now)
+        if server is not None:
+            return self._grant(server)
+        if not self._directory.of_service(ticket.service):
+            return Decision(Verdict.REFUSED, None, MAX_RETRY_SECONDS, "no server")
+        wait = self.expected_wait(ticket.service)
+        if not ticket.begun and now + wait > ticket.start_by:
+            return Decision(Verdict.REFUSED, None, self._retry_after(wait), "queue too long")
+        heapq.heappush(self._waiting, (ticket.rank, ticket.start_by, next(self._numbers), ticket))
+        return WAITING
+
+    def poll(self, now: float) -> list[tuple[Ticket, Decision]]:
+        """Returns what has become of tickets that waited."""
+        decided: list[tuple[Ticket, Decision]] = []
+        kept = []
+        blocked: set[ServiceName] = set()
+        while self._waiting:
+            item = heapq.heappop(self._waiting)
+            ticket = item[-1]
+            server = None
+            if ticket.service not in blocked:
+                server = self.choose(ticket, now)
+            if server is not None:
+                decided.append((ticket, self._grant(server)))
+            elif now > ticket.start_by:
+                wait = self.expected_wait(ticket.service)
+                refused = Decision(Verdict.REFUSED, None, self._retry_after(wait), "waited")
+                decided.append((ticket, refused))
+            else:
+                kept.append(item)
+                if not ticket.excluded:
+                    blocked.add(ticket.service)
+        self._waiting = kept
+        heapq.heapify(self._waiting)
+        return decided
+
+    def withdraw(self, ticket: Ticket) -> None:
+        """Takes a ticket out whose caller has left."""
+        self._waiting = [item for item in self._waiting if item[-1] is not ticket]
+        heapq.heapify(self._waiting)
+
+    def release(self, server: BackendEntry, held: float) -> None:
+        """Gives a place back after some seconds."""
+        self._board.add(server.name, online=-1)
+        known = self._hold_by_service.get(server.service, held)
+        self._hold_by_service[server.service] = known + HOLD_WEIGHT * (held - known)
+
+    def note_success(self, name: BackendName) -> None:
+        """Notes that a server answered as it should."""
+        self._health_by_name.pop(name, None)
+
+    def note_failure(self, name: BackendName, now: float) -> None:
+        """Passes a server over for a while, longer with each failure in a row."""
+        health = self._health_by_name.setdefault(name, Health())
+        health.failures += 1
+        pause = min(MAX_SUSPEND_SECONDS, SUSPEND_SECONDS * 2 ** (health.failures - 1))
+        health.avoid_until = now + pause
+
+    def note_full(self, name: BackendName, now: float) -> None:
+        """Notes that a server refused a call because it is full."""
+        health = self._health_by_name.setdefault(name, Health())
+        health.avoid_until = max(health.avoid_until, now + FULL_SECONDS)
+
+    def forget(self, names: list[BackendName]) -> None:
+        """Drops what is known of servers that are gone."""
+        for name in names:
+            self._health_by_name.pop(name, None)
+
+    def may_use(self, name: BackendName, now: float) -> bool:
+        """Tells whether a server is not passed over at present."""
+        health = self._health_by_name.get(name)
+        return health is None or now >= health.avoid_until
+
+    def choose(self, ticket: Ticket, now: float) -> BackendEntry | None:
+        """Returns the best server with a free place, or None."""
+        open_servers = [
+            (self._cost(server), server)
+            for server in self._directory.of_service(ticket.service)
+            if server.name not in ticket.excluded
+            and self.may_use(server.name, now)
+            and self._board.total(server.name).online < server.slots
+        ]
+        return min(open_servers, key=lambda pair: pair[0])[1] if open_servers else None
+
+    def expected_wait(self, service: ServiceName) -> float:
+        """Returns the seconds that a new ticket of a service would wait."""
+        ahead = sum(item[-1].service == service for item in self._waiting) + 1
+        slots = sum(server.slots for server in self._directory.of_service(service))
+        hold = self._hold_by_service.get(service, FIRST_HOLD_SECONDS)
+        return ahead * hold / max(1, slots)
+
+    def _cost(self, server: BackendEntry) -> tuple[bool, float, bool, float]:
+        load = self._board.total(server.name)
+        busy = (load.online + load.batch) / max(1, server.slots)
+        online = load.online / max(1, server.slots)
+        return (
+            busy >= 1,
+            online if busy >= 1 else busy,
+            server.data_centre != self._data_centre,
+            self._random.random(),
+        )
+
+    def _is_behind(self, ticket: Ticket) -> bool:
+        """Tells whether an older ticket of the same service waits for the same servers."""
+        return any(
+            item[-1].service == ticket.service and item[0] <= ticket.rank
+            for item in self._waiting
+            if not item[-1].excluded
+        )
+
+    def _grant(self, server: BackendEntry) -> Decision:
+        self._board.add(server.name, online=1)
+        return Decision(Verdict.GRANTED, server)
+
+    def _retry_after(self, wait: float) -> float:
+        spread = self._random.uniform(1.0, 2.0)
+        return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, wait * spread))
--- a/verbenashore/exceptions.py
+++ b/verbenashore/exceptions.py
@@ -158,6 +158,20 @@
     http_status = 502
 
 
+class BackendBusyError(BackendError):
+    """A backend server stated that it did not run a call, for it is full or leaving."""
+
+    code = "backend_busy"
+    http_status = 503
+
+
+class BackendReplacedError(BackendError):
+    """Another backend server than the expected one answered, and did not run the call."""
+
+    code = "backend_replaced"
+    http_status = 503
+
+
 class BackendRefusedError(VerbenaError):
     """A backend server refused a request by itself; another attempt would end alike.
 
@@ -180,6 +194,13 @@
     http_status = 504
 
 
+class DeadlineError(VerbenaError):
+    """A call was ended because its time was over; it may have run."""
+
+    code = "deadline"
+    http_status = 504
+
+
 class NotLeaderError(VerbenaError):
     """The replica asked does not lead its group, or may no longer say that it does."""
 
--- /dev/null
+++ b/verbenashore/gateway.py
@@ -0,0 +1,484 @@
+"""Relays online calls to backend servers, and takes item jobs; one per entry instance."""
+
+import asyncio
+import random
+from typing import Any
+
+import msgspec
+
+from verbenashore import backendcall, httpserver, itemjobs, logs, misc, routing
+from verbenashore.backendcall import Call, Dialect, Opened
+from verbenashore.board import LoadBoard
+from verbenashore.client import GroupClient
+from verbenashore.directory import BackendEntry, Directory
+from verbenashore.dispatch import Decision, Dispatcher, Ticket, Verdict
+from verbenashore.events import NO_NUMBER, EventSplitter
+from verbenashore.exceptions import (
+    BackendBusyError,
+    BackendError,
+    DeadlineError,
+    NotFoundError,
+    OutcomeUnknownError,
+    OverloadedError,
+    UnavailableError,
+    VerbenaError,
+)
+from verbenashore.gossip import Gossip
+from verbenashore.httpserver import Responder, Tuning
+from verbenashore.itemjobs import ResultsPage, SubmitItemJob, SubmitResult
+from verbenashore.jobdesk import RelaySettings
+from verbenashore.listing import ListKeeper
+from verbenashore.logs import Event
+from verbenashore.messages import HeartbeatReply, ItemBody, ReadItemBody, ReadResults
+from verbenashore.process import Process
+from verbenashore.routing import Route, RouteIndex, RouteKind, RouteTable
+from verbenashore.types import (
+    CONTROL_GROUP,
+    BackendName,
+    JobId,
+    MemberName,
+    MemberRole,
+    MemberState,
+)
+from verbenashore.view import SystemView
+
+#: Seconds between two looks at the tickets that wait, when nothing else wakes them.
+POLL_SECONDS = 0.01
+#: Mean seconds between two looks at the age of the list.
+LIST_LOOK_SECONDS = 0.4
+#: Part of a route's objective, or of its longest pause, after which a silent server is left.
+STALL_SHARE = 0.6
+#: Longest silence in seconds on a stream that declares no pause.
+DEFAULT_PAUSE_SECONDS = 1.0
+#: Servers that may refuse one call without running it.
+MAX_REFUSALS = 4
+#: Seconds for a job's commit, and for a read of its results beyond the asked wait.
+JOB_SECONDS = 1.5
+SUCCESS = 200
+#: Statuses by which a caller would take a call for not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
+class Relay(msgspec.Struct):
+    """The state of one relayed call.
+
+    :param end_at: when the call is ended, on the process's clock.
+    :param runs: servers that may have run it.
+    :param refusals: servers that stated that they did not run it.
+    :param last_event: the number of the last event that the caller has.
+    """
+
+    call: Call
+    route: Route
+    arrived_at: float
+    end_at: float
+    ticket: Ticket
+    respond: Responder
+    runs: int = 0
+    refusals: int = 0
+    last_event: int | None = None
+    first_sent_at: float = 0.0
+
+    @property
+    def last_attempt(self) -> bool:
+        """True if no other server may get the call after this one."""
+        return not self.route.repeatable or self.runs >= self.route.max_attempts
+
+
+class Gateway:
+    """The relaying side of one entry process.
+
+    :param listen: ``IP:PORT`` for callers.
+    :param seeds: addresses of some ledger processes.
+    """
+
+    def __init__(self, running: Process, given: RelaySettings, seeds: list[str]) -> None:
+        settings = running.settings
+        self._process = running
+        self._clock = running.clock
+        self._dialect: Dialect = given.dialect
+        self._reports = given.reports
+        self.tuning = Tuning()
+        self.control = GroupClient(CONTROL_GROUP, running.links, seeds, running.clock)
+        self.routes = RouteIndex(RouteTable())
+        self._view = SystemView(
+            running,
+            self.control,
+            MemberRole.ENTRY,
+            given.reports,
+            BackendName(""),
+            routing.decode,
+        )
+        self._view.on_change.append(self._on_change)
+        self._view.on_reply.append(self._on_reply)
+        self._board = LoadBoard()
+        self._directory = Directory()
+        self._dispatcher = Dispatcher(
+            self._directory,
+            self._board,
+            settings.data_centre,
+            misc.quick_hash(running.incarnation),
+        )
+        self._wake = asyncio.Event()
+        self._list = ListKeeper(
+            self._directory, self._dispatcher, given.fetch, running.clock, self._on_list
+        )
+        self._gossip = Gossip(
+            self._board, running.name, running.incarnation, running.clock, self._wake.set
+        )
+        self._future_by_ticket: dict[Ticket, asyncio.Future[Decision]] = {}
+        self._random = random.Random(misc.quick_hash(running.incarnation))
+
+    async def run(self, listen: str, handle: httpserver.Handle) -> None:
+        """Serves callers until told to stop, then finishes what was begun."""
+        closing = asyncio.Event()
+        ended = asyncio.Event()
+        serving = asyncio.create_task(httpserver.serve(listen, handle, ended, closing, self.tuning))
+        self._process.start(serving)
+        self._process.start(self._view.run())
+        self._process.start(self._gossip.run(self._reports))
+        self._process.start(self._keep_list())
+        self._process.start(self._poll_tickets())
+        await self._process.wait_for_stop()
+        logs.info(Event.STOPPING, open_calls=sum(load.online for load in self._board.own.values()))
+        self._set_ready()
+        self._view.set_state(MemberState.DRAINING)
+        closing.set()
+        await asyncio.sleep(self._process.settings.lame_duck)
+        ended.set()
+        await serving
+
+    def find_route(self, host: str, path: str) -> Route:
+        """Returns the route of a call.
+
+        :raises UnavailableError: if no configuration is known yet.
+        :raises NotFoundError: if no route has the path.
+        """
+        if not self.routes.table.version:
+            raise UnavailableError("no configuration is known yet", step="route", not_run=True)
+        route = self.routes.find(host, path)
+        if route is None:
+            raise NotFoundError(f"no route for {host}{path}", step="route", not_run=True)
+        return route
+
+    async def relay(self, call: Call, route: Route, respond: Responder) -> None:
+        """Answers one online call by a backend server's answer.
+
+        :raises OverloadedError: the call was refused, and did not run.
+        :raises DeadlineError: its time was over.
+        :raises OutcomeUnknownError: it may have run, and there is no answer.
+        :raises ConnectionResetError: its answer has begun and can't be ended.
+        """
+        now = self._clock()
+        patience = min(route.timeout, call.patience if call.patience is not None else route.timeout)
+        ticket = Ticket(
+            call.id,
+            routing.choose_service(route, call.id),
+            route.priority,
+            now + min(patience, route.objective),
+        )
+        relay = Relay(call, route, now, now + patience, ticket, respond)
+        relay.last_event = call.last_event
+        try:
+            async with asyncio.timeout(patience):
+                await self._run(relay)
+        except TimeoutError:
+            self._log_end(Event.CALL_FAILED, relay, outcome="deadline")
+            if respond.started:
+                raise ConnectionResetError from None
+            if not relay.runs:
+                raise UnavailableError("no place in time", step="queue", not_run=True) from None
+            raise DeadlineError("no answer in time", step="relay") from None
+        except asyncio.CancelledError:
+            self._log_end(Event.CALL_CANCELLED, relay, outcome="caller left")
+            raise
+        except OverloadedError as error:
+            self._log_end(
+                Event.CALL_REFUSED,
+                relay,
+                outcome=error.message,
+                retry_after=round(error.retry_after, 3),
+            )
+            raise
+        except (VerbenaError, ConnectionResetError) as error:
+            self._log_end(Event.CALL_FAILED, relay, outcome=str(error))
+            raise
+        self._log_end(Event.CALL_ENDED, relay, outcome="answered")
+
+    async def submit_job(self, command: SubmitItemJob) -> SubmitResult:
+        """Accepts a job, or says that it doesn't fit.
+
+        :raises UnavailableError: if that isn't known; the job may be accepted.
+        """
+        result: Any = await self.control.propose(command, JOB_SECONDS)
+        event = Event.JOB_ACCEPTED if result.accepted else Event.JOB_REFUSED
+        logs.info(
+            event,
+            job=command.job,
+            items=len(command.items),
+            known=result.known,
+            waiting_tokens=result.waiting,
+            cap=command.token_cap,
+        )
+        return result
+
+    async def end_job(self, job: JobId) -> bool:
+        """Ends a job; false if there is none."""
+        result: Any = await self.control.propose(itemjobs.EndItemJob(job), JOB_SECONDS)
+        logs.info(Event.JOB_ENDED, job=job, known=result.ok)
+        return result.ok
+
+    async def read_results(self, job: JobId, first: int, wait: float) -> ResultsPage:
+        """Returns results of a job.
+
+        :raises NotFoundError: if there is no such job.
+        :raises UnavailableError: if no leader answered.
+        """
+        ask = ReadResults(CONTROL_GROUP, job, first, wait)
+        answer: Any = await self.control.ask(ask, wait + JOB_SECONDS, wait)
+        return answer
+
+    async def read_body(self, job: JobId, item: str) -> bytes:
+        """Returns the body of an item.
+
+        :raises NotFoundError: if there is none.
+        :raises UnavailableError: if no leader answered.
+        """
+        answer: Any = await self.control.ask(ReadItemBody(CONTROL_GROUP, job, item), JOB_SECONDS)
+        assert isinstance(answer, ItemBody)
+        return answer.data
+
+    async def _run(self, relay: Relay) -> None:
+        while True:
+            server = await self._place(relay)
+            placed_at = self._clock()
+            try:
+                await self._attempt(relay, server)
+                self._dispatcher.note_success(server.name)
+                return
+            except BackendError as error:
+                self._note_failure(relay, server, error)
+                if relay.respond.started and relay.last_attempt:
+                    raise ConnectionResetError(error.message) from error
+                if not error.not_run and relay.last_attempt:
+                    raise OutcomeUnknownError(
+                        error.message, step=error.step, peer=server.name
+                    ) from error
+            finally:
+                self._dispatcher.release(server, self._clock() - placed_at)
+                self._gossip.mark_changed()
+                self._wake.set()
+
+    def _note_failure(self, relay: Relay, server: BackendEntry, error: BackendError) -> None:
+        now = self._clock()
+        relay.ticket.excluded.add(server.name)
+        relay.ticket.begun = relay.runs > 0
+        if isinstance(error, BackendBusyError):
+            self._dispatcher.note_full(server.name, now)
+        else:
+            self._dispatcher.note_failure(server.name, now)
+        if error.not_run:
+            relay.refusals += 1
+        logs.info(
+            Event.CALL_MOVED,
+            call=relay.call.id,
+            server=server.name,
+            step=error.step,
+            error=error.message,
+            not_run=error.not_run,
+            runs=relay.runs,
+            last_event=relay.last_event,
+            age=round(now - relay.arrived_at, 4),
+        )
+        if relay.refusals > MAX_REFUSALS:
+            if relay.runs:
+                raise OutcomeUnknownError("no server took the call", step="place")
+            raise OverloadedError("no server took the call", step="place", retry_after=0.5)
+
+    async def _place(self, relay: Relay) -> BackendEntry:
+        ticket = relay.ticket
+        decision = self._dispatcher.request(ticket, self._clock())
+        if decision.verdict is Verdict.WAITING:
+            logs.info(
+                Event.CALL_QUEUED,
+                call=ticket.id,
+                service=ticket.service,
+                waiting=self._dispatcher.waiting,
+            )
+            future: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
+            self._future_by_ticket[ticket] = future
+            try:
+                decision = await future
+            finally:
+                del self._future_by_ticket[ticket]
+                self._give_back(ticket, future)
+        if decision.server is None:
+            if relay.runs:
+                raise OutcomeUnknownError(decision.reason, step="place")
+            raise OverloadedError(decision.reason, step="place", retry_after=decision.retry_after)
+        self._gossip.mark_changed()
+        total = self._board.total(decision.server.name)
+        logs.info(
+            Event.CALL_PLACED,
+            call=ticket.id,
+            route=relay.route.name,
+            server=decision.server.name,
+            online=total.online,
+            batch=total.batch,
+            list_age=round(self._list.age, 3),
+            version=self.routes.table.version,
+            age=round(self._clock() - relay.arrived_at, 4),
+        )
+        return decision.server
+
+    def _give_back(self, ticket: Ticket, future: "asyncio.Future[Decision]") -> None:
+        """Frees what a ticket holds whose caller left while it waited."""
+        if not future.cancelled():
+            return
+        self._dispatcher.withdraw(ticket)
+
+    async def _attempt(self, relay: Relay, server: BackendEntry) -> None:
+        route = relay.route
+        left = max(0.001, relay.end_at - self._clock())
+        relay.first_sent_at = relay.first_sent_at or self._clock()
+        relay.runs += 1
+        silence = left
+        if not relay.last_attempt:
+            silence = min(left, route.objective * STALL_SHARE)
+        try:
+            async with backendcall.open_call(
+                self._dialect,
+                server,
+                relay.call,
+                left=left,
+                last_event=relay.last_event,
+                progress=silence,
+            ) as opened:
+                if route.kind is RouteKind.STREAM and opened.head.status == SUCCESS:
+                    await self._pass_stream(relay, opened)
+                else:
+                    await self._pass_whole(relay, opened)
+        except BackendError as error:
+            if error.not_run:
+                relay.runs -= 1
+            raise
+
+    async def _pass_whole(self, relay: Relay, opened: Opened) -> None:
+        body = b"".join([part async for part in opened.parts()])
+        head = opened.head
+        if head.status >= 500 and not relay.last_attempt:
+            raise BackendError(f"status {head.status}", step="head", peer="")
+        if relay.respond.started:
+            raise BackendError(f"status {head.status} on resuming", step="head", peer="")
+        if head.status in NOT_RUN_STATUSES:
+            raise BackendError(f"status {head.status} without a statement", step="head", peer="")
+        await relay.respond.relayed(
+            head.status, [*head.headers, (b"content-length", b"%d" % len(body))], body
+        )
+
+    async def _pass_stream(self, relay: Relay, opened: Opened) -> None:
+        pause = relay.route.pause or DEFAULT_PAUSE_SECONDS
+        splitter = EventSplitter()
+        resumable = relay.route.resumable
+        async for part in opened.parts():
+            if not relay.last_attempt:
+                opened.exchange.set_progress(pause * STALL_SHARE)
+            data = self._whole_events(relay, splitter, part) if resumable else part
+            if not data:
+                continue
+            if not relay.respond.started:
+                await relay.respond.start_relayed(opened.head.status, opened.head.headers)
+            await relay.respond.chunk(data)
+        if resumable and splitter.partial.strip():
+            raise BackendError("the last event is cut off", step="events", peer="")
+        if not relay.respond.started:
+            await relay.respond.start_relayed(opened.head.status, opened.head.headers)
+        await relay.respond.end()
+
+    def _whole_events(self, relay: Relay, splitter: EventSplitter, part: bytes) -> bytes:
+        """Returns the whole events of some bytes, which must follow the last one."""
+        whole = []
+        for event in splitter.feed(part):
+            if event.number != NO_NUMBER:
+                if relay.last_event is not None and event.number != relay.last_event + 1:
+                    raise BackendError(
+                        f"event {event.number} after {relay.last_event}", step="events", peer=""
+                    )
+                relay.last_event = event.number
+            whole.append(event.raw)
+        return b"".join(whole)
+
+    async def _poll_tickets(self) -> None:
+        while True:
+            if self._future_by_ticket:
+                await asyncio.sleep(POLL_SECONDS)
+            else:
+                await self._wake.wait()
+            self._wake.clear()
+            for ticket, decision in self._dispatcher.poll(self._clock()):
+                future = self._future_by_ticket.get(ticket)
+                if future is not None and not future.done():
+                    future.set_result(decision)
+                elif decision.server is not None:
+                    self._dispatcher.release(decision.server, 0.0)
+
+    async def _keep_list(self) -> None:
+        """Reads the list for itself while the leader's is missing or old."""
+        while True:
+            if self._list.is_stale:
+                await self._list.read()
+            await asyncio.sleep(LIST_LOOK_SECONDS * self._random.uniform(0.5, 1.5))
+
+    def _on_reply(self, reply: HeartbeatReply) -> None:
+        read_at = self._clock() - reply.backends_age
+        if reply.backends is not None:
+            self._view.backends_version = reply.backends.version
+            self._list.take(reply.backends.entries, read_at)
+        elif reply.backends_age >= 0:
+            self._list.confirm(read_at)
+        self._set_peers(reply.reports_to)
+
+    def _set_peers(self, leader: str) -> None:
+        others: dict[MemberName, Any] = self._view.members
+        peers = {member.address for member in others.values() if member.role is MemberRole.ENTRY}
+        self._gossip.peers = (peers | {leader}) - {self._reports, ""}
+
+    def _on_list(self) -> None:
+        self._wake.set()
+        self._set_ready()
+
+    def _on_change(self) -> None:
+        table = self._view.deployment
+        if table.version > self.routes.table.version:
+            self.routes = RouteIndex(table)
+            self.tuning.limits = table.limits
+        self._set_ready()
+
+    def _set_ready(self) -> None:
+        ready = bool(
+            self.routes.table.version
+            and self._directory.by_name
+            and not self._process.stopping.is_set()
+        )
+        if ready != self._process.ready:
+            self._process.ready = ready
+            logs.info(
+                Event.READY if ready else Event.NOT_READY,
+                version=self.routes.table.version,
+                servers=len(self._directory.by_name),
+            )
+
+    def _log_end(self, event: Event, relay: Relay, **fields: object) -> None:
+        seconds = self._clock() - relay.arrived_at
+        self._process.metrics.count(f"{relay.route.name}.{event.name.lower()}")
+        self._process.metrics.time(f"{relay.route.name}.seconds", seconds)
+        logs.info(
+            event,
+            call=relay.call.id,
+            route=relay.route.name,
+            runs=relay.runs,
+            refusals=relay.refusals,
+            last_event=relay.last_event,
+            seconds=round(seconds, 4),
+            **fields,
+        )
--- a/verbenashore/httpclient.py
+++ b/verbenashore/httpclient.py
@@ -19,6 +19,13 @@
 READ_BYTES = 64 << 10
 JSON_HEADERS = {"content-type": "application/json"}
 
+#: Names and values; a list keeps order and repeated names.
+Headers = dict[str, str] | list[tuple[str, str]] | list[tuple[bytes, bytes]]
+
+
+def _name(name: str | bytes) -> str:
+    return (name.decode("latin-1") if isinstance(name, bytes) else name).lower()
+
 
 class Response(msgspec.Struct):
     """A whole response."""
@@ -44,15 +51,22 @@
         self._connection = h11.Connection(h11.CLIENT)
         self.status = 0
         self.content_type = ""
-
-    async def send(self, method: str, target: str, headers: dict[str, str], body: bytes) -> None:
-        """Sends the request."""
-        fields = {"host": self._peer, "content-length": str(len(body))} | headers
-        head = h11.Request(method=method, target=target, headers=list(fields.items()))
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.ended = False
+
+    def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
+        """Sends the request without waiting: the peer may answer before it has read all of it."""
+        given: list[Any] = list(headers.items() if isinstance(headers, dict) else headers)
+        names = {_name(name) for name, _ in given}
+        default = [("host", self._peer), ("content-length", str(len(body)))]
+        fields: list[Any] = [pair for pair in default if pair[0] not in names] + given
+        head = h11.Request(method=method, target=target, headers=fields)
         events = (head, h11.Data(body), h11.EndOfMessage())
         self._writer.write(b"".join(self._connection.send(event) or b"" for event in events))
-        late = BackendError("the request was not taken", step="send", peer=self._peer)
-        await misc.within(self._progress, self._writer.drain(), late)
+
+    def set_progress(self, seconds: float) -> None:
+        """Changes the time in which each further part must come."""
+        self._progress = seconds
 
     async def read_head(self) -> None:
         """Reads the status and the headers."""
@@ -62,6 +76,7 @@
         if not isinstance(event, h11.Response):
             raise BackendError("the connection ended early", step="head", peer=self._peer)
         self.status = event.status_code
+        self.headers = list(event.headers)
         fields = dict(event.headers)
         self.content_type = fields.get(b"content-type", b"").decode("latin-1")
 
@@ -72,6 +87,7 @@
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
+                self.ended = True
                 return
             else:
                 raise BackendError("the body was cut off", step="body", peer=self._peer)
@@ -96,29 +112,34 @@
     target: str,
     body: bytes,
     progress: float,
-    headers: dict[str, str] = JSON_HEADERS,
+    headers: Headers = JSON_HEADERS,
+    connect_seconds: float = CONNECT_SECONDS,
 ) -> AsyncIterator[Exchange]:
     """Sends a request and gives its exchange; leaving the block closes the connection.
 
+    A connection whose response has not ended is reset, so that the peer stops its work.
+
     :raises BackendError: with step ``connect`` if nothing was sent at all.
     """
     place = parse_address(address)
     late = BackendError("can't connect", step="connect", peer=address, not_run=True)
     try:
         opening = asyncio.open_connection(place.host, place.port)
-        reader, writer = await misc.within(CONNECT_SECONDS, opening, late)
+        reader, writer = await misc.within(connect_seconds, opening, late)
     except OSError as error:
         raise BackendError(str(error), step="connect", peer=address, not_run=True) from None
+    running = Exchange(reader, writer, address, progress)
     try:
-        running = Exchange(reader, writer, address, progress)
-        try:
-            await running.send(method, target, headers, body)
-            await running.read_head()
-            yield running
-        except OSError as error:
-            raise BackendError(str(error), step="exchange", peer=address) from error
+        running.send(method, target, headers, body)
+        await running.read_head()
+        yield running
+    except OSError as error:
+        raise BackendError(str(error), step="exchange", peer=address) from error
     finally:
-        writer.close()
+        if running.ended:
+            writer.close()
+        else:
+            writer.transport.abort()
 
 
 async def request(
@@ -128,7 +149,7 @@
     body: bytes = b"",
     *,
     seconds: float,
-    headers: dict[str, str] = JSON_HEADERS,
+    headers: Headers = JSON_HEADERS,
 ) -> Response:
     """Sends a request and returns the whole response.
 
@@ -139,7 +160,7 @@
 
 
 async def _whole(
-    address: str, method: str, target: str, body: bytes, seconds: float, headers: dict[str, str]
+    address: str, method: str, target: str, body: bytes, seconds: float, headers: Headers
 ) -> Response:
     async with exchange(address, method, target, body, seconds, headers) as running:
         data = b"".join([part async for part in running.parts()])
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -16,25 +16,30 @@
     TooLargeError,
     VerbenaError,
 )
+from verbenashore.httpclient import Headers
 from verbenashore.logs import Event
+from verbenashore.routing import CallerLimits
 from verbenashore.settings import parse_address
 
-HEADER_SECONDS = 10.0
 BODY_SECONDS = 60.0
-IDLE_SECONDS = 75.0
 WRITE_SECONDS = 20.0
-MAX_HEADER_BYTES = 32 << 10
-MAX_BODY_BYTES = 64 << 20
 READ_BYTES = 64 << 10
 MAX_CONNECTIONS = 4000
 NO_HEADERS: Mapping[str, str] = {}
 
 
+class Tuning(msgspec.Struct):
+    """What a server allows its callers; may change while it runs."""
+
+    limits: CallerLimits = CallerLimits()
+
+
 class Request(msgspec.Struct):
     """One request of a caller.
 
     :param target: the path with its query, as it came.
     :param headers: by lower-case name.
+    :param fields: the headers in order, as they came.
     """
 
     method: str
@@ -43,14 +48,24 @@
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    fields: list[tuple[bytes, bytes]] = msgspec.field(default_factory=list)
 
 
 class Responder:
-    """Writes the response to one request."""
+    """Writes the response to one request.
 
-    def __init__(self, connection: h11.Connection, writer: asyncio.StreamWriter) -> None:
+    :param closing: once set, callers are told that the connection ends with the response.
+    """
+
+    def __init__(
+        self,
+        connection: h11.Connection,
+        writer: asyncio.StreamWriter,
+        closing: asyncio.Event,
+    ) -> None:
         self._connection = connection
         self._writer = writer
+        self._closing = closing
         self.started = False
 
     async def whole(
@@ -62,9 +77,15 @@
     ) -> None:
         """Writes a whole response."""
         fields = {"content-type": content_type, "content-length": str(len(body))}
-        self.started = True
-        head = h11.Response(status_code=status, headers=list({**fields, **headers}.items()))
-        await self._send(head, h11.Data(body), h11.EndOfMessage())
+        await self.relayed(status, list({**fields, **headers}.items()), body)
+
+    async def relayed(self, status: int, headers: Headers, body: bytes) -> None:
+        """Writes a whole response with just these headers."""
+        await self._send(self._head(status, headers), h11.Data(body), h11.EndOfMessage())
+
+    async def start_relayed(self, status: int, headers: Headers) -> None:
+        """Starts a streamed response with just these headers."""
+        await self._send(self._head(status, headers))
 
     async def json(
         self, status: int, document: Any, headers: Mapping[str, str] = NO_HEADERS
@@ -74,11 +95,8 @@
 
     async def start(self, status: int, content_type: str, headers: Mapping[str, str]) -> None:
         """Starts a streamed response."""
-        self.started = True
         fields = {"content-type": content_type, "cache-control": "no-store"}
-        await self._send(
-            h11.Response(status_code=status, headers=list({**fields, **headers}.items()))
-        )
+        await self.start_relayed(status, list({**fields, **headers}.items()))
 
     async def chunk(self, data: bytes) -> None:
         """Writes a part of a streamed response."""
@@ -88,6 +106,13 @@
         """Ends a streamed response; a caller can tell one that was not ended."""
         await self._send(h11.EndOfMessage())
 
+    def _head(self, status: int, headers: Headers) -> h11.Response:
+        self.started = True
+        fields: list[Any] = list(headers)
+        if self._closing.is_set():
+            fields.append(("connection", "close"))
+        return h11.Response(status_code=status, headers=fields)
+
     async def _send(self, *events: h11.Event) -> None:
         data = b"".join(self._connection.send(event) or b"" for event in events)
         self._writer.write(data)
@@ -123,12 +148,21 @@
     await respond.json(error.http_status, error_document(error), headers)
 
 
-async def serve(address: str, handle: Handle, stopping: asyncio.Event) -> None:
+async def serve(
+    address: str,
+    handle: Handle,
+    stopping: asyncio.Event,
+    closing: asyncio.Event | None = None,
+    tuning: Tuning | None = None,
+) -> None:
     """Serves until told to stop; then ends each connection after the request it is busy with.
 
+    :param closing: set some time before ``stopping``; from then on each response ends its
+        connection, while new connections are still served.
     :raises OSError: if the address can't be bound.
     """
     place = parse_address(address)
+    shared = _Shared(handle, stopping, closing or asyncio.Event(), tuning or Tuning())
     conversations: set[_Conversation] = set()
     tasks: set[asyncio.Task[Any]] = set()
 
@@ -138,7 +172,7 @@
             return
         task = asyncio.current_task()
         assert task is not None
-        conversation = _Conversation(reader, writer, handle, stopping, task)
+        conversation = _Conversation(reader, writer, shared, task)
         conversations.add(conversation)
         tasks.add(task)
         try:
@@ -164,6 +198,15 @@
         await misc.cancel_and_wait(*tasks)
 
 
+class _Shared(msgspec.Struct):
+    """What all connections of a server share."""
+
+    handle: Handle
+    stopping: asyncio.Event
+    closing: asyncio.Event
+    tuning: Tuning
+
+
 class _Conversation:
     """One connection of a caller."""
 
@@ -171,22 +214,22 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        handle: Handle,
-        stopping: asyncio.Event,
+        shared: _Shared,
         task: asyncio.Task[Any],
     ) -> None:
         self._reader = reader
         self._writer = writer
-        self._handle = handle
-        self._stopping = stopping
+        self._shared = shared
         self.task = task
         self.busy = False
-        self._connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
+        self._connection = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=shared.tuning.limits.header_bytes
+        )
 
     async def run(self) -> None:
         """Serves one request after the other."""
-        while not self._stopping.is_set():
-            respond = Responder(self._connection, self._writer)
+        while not self._shared.stopping.is_set():
+            respond = Responder(self._connection, self._writer, self._shared.closing)
             try:
                 request = await self._read_request()
             except VerbenaError as error:
@@ -222,7 +265,7 @@
 
     async def _guarded(self, request: Request, respond: Responder) -> None:
         try:
-            await self._handle(request, respond)
+            await self._shared.handle(request, respond)
         except VerbenaError as error:
             if respond.started:
                 raise ConnectionResetError from error
@@ -239,19 +282,22 @@
         idle = SlowClientError("no request came", step="read", not_run=True)
         slow = SlowClientError("the request came too slowly", step="read", not_run=True)
         if self._connection.trailing_data == (b"", False):
-            data = await misc.within(IDLE_SECONDS, self._reader.read(READ_BYTES), idle)
+            limits = self._shared.tuning.limits
+            data = await misc.within(limits.idle_seconds, self._reader.read(READ_BYTES), idle)
             self._connection.receive_data(data)
         self.busy = True
-        head = await misc.within(HEADER_SECONDS, self._next_event(), slow)
+        limits = self._shared.tuning.limits
+        head = await misc.within(limits.header_seconds, self._next_event(), slow)
         if not isinstance(head, h11.Request):
             return None
         body = await misc.within(BODY_SECONDS, self._read_body(head), slow)
         return _to_request(head, body)
 
     async def _read_body(self, head: h11.Request) -> bytes:
+        most = self._shared.tuning.limits.body_bytes
         length = next((value for name, value in head.headers if name == b"content-length"), b"0")
-        if int(length) > MAX_BODY_BYTES:
-            raise _too_large()
+        if int(length) > most:
+            raise _too_large(most)
         if self._connection.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self._writer.write(self._connection.send(go_on) or b"")
@@ -261,8 +307,8 @@
             event = await self._next_event()
             if isinstance(event, h11.Data):
                 size += len(event.data)
-                if size > MAX_BODY_BYTES:
-                    raise _too_large()
+                if size > most:
+                    raise _too_large(most)
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 return b"".join(parts)
@@ -281,10 +327,8 @@
             self._connection.receive_data(await self._reader.read(READ_BYTES))
 
 
-def _too_large() -> TooLargeError:
-    return TooLargeError(
-        f"the body is over {MAX_BODY_BYTES} bytes", step="read", field="body", not_run=True
-    )
+def _too_large(most: int) -> TooLargeError:
+    return TooLargeError(f"the body is over {most} bytes", step="read", field="body", not_run=True)
 
 
 def _to_request(head: h11.Request, body: bytes) -> Request:
@@ -298,4 +342,5 @@
         dict(parse_qsl(parts.query)),
         headers,
         body,
+        list(head.headers),
     )
--- /dev/null
+++ b/verbenashore/itemjobs.py
@@ -0,0 +1,249 @@
+"""Batch jobs whose items are relayed to a service as they came: the replicated state.
+
+A job is accepted once and whole.  Its results get their positions in the order in which they are
+committed, so every replica lists the same.
+"""
+
+from enum import Enum
+
+import msgspec
+
+from verbenashore.files import Done
+from verbenashore.types import JobId
+
+#: Bytes of result texts in one page of results.
+PAGE_BYTES = 900_000
+
+
+class Outcome(Enum):
+    """How one attempt at an item ended."""
+
+    COMPLETED = "completed"
+    FAILED = "failed"
+    IMPOSSIBLE = "impossible"
+
+
+class ItemSpec(msgspec.Struct, frozen=True, array_like=True):
+    """One item as its job brought it.
+
+    :param tokens: of its prompt and its longest output.
+    """
+
+    id: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    tokens: int
+
+
+class SubmitItemJob(msgspec.Struct, frozen=True, array_like=True, tag="submit_item_job"):
+    """Accepts a job, unless its tokens don't fit or it is known.
+
+    :param due_in: seconds in which its results are wanted.
+    :param give_up_in: seconds after which its items are given up; 0 means never.
+    :param max_attempts: failures after which an item is given up.
+    :param token_cap: tokens that may wait on the route; 0 means no limit.
+    :param keep_for: seconds for which its results stay readable.
+    """
+
+    job: JobId
+    route: str
+    host: str
+    items: list[ItemSpec]
+    due_in: float
+    give_up_in: float
+    max_attempts: int
+    token_cap: int
+    keep_for: float
+
+
+class SubmitResult(msgspec.Struct, frozen=True, array_like=True, tag="submit_result"):
+    """Answers :class:`SubmitItemJob`.
+
+    :param waiting: tokens that wait on the route.
+    """
+
+    accepted: bool
+    known: bool
+    waiting: int
+
+
+class Attempt(msgspec.Struct, frozen=True, array_like=True):
+    """One ended attempt at an item."""
+
+    job: JobId
+    item: int
+    outcome: Outcome
+    text: str = ""
+
+
+class RecordAttempts(msgspec.Struct, frozen=True, array_like=True, tag="record_attempts"):
+    """Commits how attempts ended."""
+
+    attempts: list[Attempt]
+
+
+class EndItemJob(msgspec.Struct, frozen=True, array_like=True, tag="end_item_job"):
+    """Stops a job at its owner's wish; what is listed stays listed."""
+
+    job: JobId
+
+
+class ItemResult(msgspec.Struct, frozen=True, array_like=True):
+    """One listed result.
+
+    :param completed: false if the item was given up.
+    """
+
+    id: str
+    completed: bool
+    text: str
+
+
+class ResultsPage(msgspec.Struct, frozen=True, array_like=True, tag="results_page"):
+    """Some results of a job, from a position on."""
+
+    total: int
+    results: list[ItemResult]
+    next: int
+
+
+class ItemState(msgspec.Struct):
+    """One item.
+
+    :param failures: attempts that the backend servers failed.
+    """
+
+    spec: ItemSpec
+    failures: int = 0
+    listed: bool = False
+
+
+class ItemJob(msgspec.Struct):
+    """One job; its times are ledger times in seconds."""
+
+    id: JobId
+    route: str
+    host: str
+    submitted_at: float
+    due_at: float
+    give_up_at: float
+    keep_until: float
+    max_attempts: int
+    items: list[ItemState]
+    results: list[ItemResult] = msgspec.field(default_factory=list)
+    ended: bool = False
+
+    @property
+    def open(self) -> bool:
+        """True while items of it are to be run."""
+        return not self.ended and len(self.results) < len(self.items)
+
+
+class ItemJobBook(msgspec.Struct):
+    """All jobs.
+
+    :param waiting_by_route: tokens of the items that are neither listed nor of an ended job.
+    """
+
+    job_by_id: dict[JobId, ItemJob] = msgspec.field(default_factory=dict)
+    waiting_by_route: dict[str, int] = msgspec.field(default_factory=dict)
+
+
+def submit(book: ItemJobBook, command: SubmitItemJob, now: float) -> SubmitResult:
+    """Accepts a job once; a resent one is accepted again without a second run."""
+    waiting = book.waiting_by_route.get(command.route, 0)
+    if command.job in book.job_by_id:
+        return SubmitResult(True, True, waiting)
+    tokens = sum(item.tokens for item in command.items)
+    if command.token_cap and waiting + tokens > command.token_cap:
+        return SubmitResult(False, False, waiting)
+    book.job_by_id[command.job] = ItemJob(
+        command.job,
+        command.route,
+        command.host,
+        now,
+        now + command.due_in,
+        now + command.give_up_in if command.give_up_in else float("inf"),
+        now + command.keep_for,
+        command.max_attempts,
+        [ItemState(spec) for spec in command.items],
+    )
+    book.waiting_by_route[command.route] = waiting + tokens
+    return SubmitResult(True, False, waiting + tokens)
+
+
+def record(book: ItemJobBook, command: RecordAttempts) -> Done:
+    """Lists the items that ended, and counts the failures of the others."""
+    for attempt in command.attempts:
+        job = book.job_by_id.get(attempt.job)
+        if job is None or job.items[attempt.item].listed:
+            continue
+        item = job.items[attempt.item]
+        if attempt.outcome is Outcome.COMPLETED:
+            _list(book, job, item, True, attempt.text)
+            continue
+        item.failures += 1
+        if attempt.outcome is Outcome.IMPOSSIBLE or item.failures >= job.max_attempts:
+            _list(book, job, item, False, "")
+    return Done()
+
+
+def end(book: ItemJobBook, command: EndItemJob) -> Done:
+    """Stops a job; false if there is none."""
+    job = book.job_by_id.get(command.job)
+    if job is None:
+        return Done(False)
+    if not job.ended:
+        job.ended = True
+        left = sum(item.spec.tokens for item in job.items if not item.listed)
+        _release(book, job.route, left)
+    return Done()
+
+
+def expire(book: ItemJobBook, now: float) -> None:
+    """Gives up the items whose time is over, and forgets old jobs."""
+    for job in list(book.job_by_id.values()):
+        if job.open and now >= job.give_up_at:
+            for item in job.items:
+                if not item.listed:
+                    _list(book, job, item, False, "")
+        if not job.open and now >= job.keep_until:
+            del book.job_by_id[job.id]
+
+
+def has_expired(book: ItemJobBook, now: float) -> bool:
+    """Tells whether :func:`expire` would change something."""
+    return any(
+        now >= (job.give_up_at if job.open else job.keep_until) for job in book.job_by_id.values()
+    )
+
+
+def page(job: ItemJob, first: int) -> ResultsPage:
+    """Returns the results from a position on, as many as fit into a page."""
+    size = 0
+    taken: list[ItemResult] = []
+    for result in job.results[first:]:
+        size += len(result.text.encode())
+        if taken and size > PAGE_BYTES:
+            break
+        taken.append(result)
+    return ResultsPage(len(job.items), taken, first + len(taken))
+
+
+def body_of(job: ItemJob, item_id: str) -> bytes | None:
+    """Returns the body of an item, or None if the job is ended or has no such item."""
+    if job.ended:
+        return None
+    return next((item.spec.body for item in job.items if item.spec.id == item_id), None)
+
+
+def _list(book: ItemJobBook, job: ItemJob, item: ItemState, completed: bool, text: str) -> None:
+    item.listed = True
+    job.results.append(ItemResult(item.spec.id, completed, text))
+    if not job.ended:
+        _release(book, job.route, item.spec.tokens)
+
+
+def _release(book: ItemJobBook, route: str, tokens: int) -> None:
+    book.waiting_by_route[route] = book.waiting_by_route.get(route, 0) - tokens
--- /dev/null
+++ b/verbenashore/jobdesk.py
@@ -0,0 +1,152 @@
+"""What a ledger process does for relayed calls while it leads: list, load reports, item jobs."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from verbenashore import control, itemjobs, misc, routing
+from verbenashore.backendcall import Dialect
+from verbenashore.board import LoadBoard
+from verbenashore.directory import Directory
+from verbenashore.dispatch import Dispatcher
+from verbenashore.exceptions import NotFoundError
+from verbenashore.gossip import Gossip
+from verbenashore.itemjobs import ItemJob, ResultsPage
+from verbenashore.jobrunner import JobRunner
+from verbenashore.listing import READ_SECONDS, Fetch, ListKeeper
+from verbenashore.messages import HeartbeatReply, ItemBody, ReadItemBody, ReadResults
+from verbenashore.process import Process
+from verbenashore.replica import ReplicaRunner
+from verbenashore.routing import RouteIndex, RouteTable
+from verbenashore.types import JobId
+
+#: Longest wait for a result, in seconds.
+MAX_WAIT_SECONDS = 5.0
+
+
+class RelaySettings(msgspec.Struct):
+    """What a process needs to relay calls.
+
+    :param fetch: reads the list of backend servers.
+    :param reports: ``IP:PORT`` on which it takes reports of load.
+    """
+
+    dialect: Dialect
+    fetch: Fetch
+    reports: str
+
+
+class JobDesk:
+    """The relaying side of one ledger process.
+
+    :param runner: the replica whose state holds the routes and the jobs.
+    """
+
+    def __init__(self, running: Process, runner: ReplicaRunner, given: RelaySettings) -> None:
+        settings = running.settings
+        self._given = given
+        self._runner = runner
+        self._routes = RouteIndex(RouteTable())
+        self._listed = asyncio.Event()
+        self._board = LoadBoard()
+        self._directory = Directory()
+        # Versions of different leaders must not be taken for each other.
+        self._directory.version = misc.quick_hash(running.incarnation) >> 16
+        dispatcher = Dispatcher(self._directory, self._board, settings.data_centre)
+        self._jobs = JobRunner(
+            given.dialect,
+            self._directory,
+            self._board,
+            dispatcher,
+            running.clock,
+            lambda: runner.serving,
+            lambda: runner.state.item_jobs,
+            lambda: self._routes,
+            runner.propose,
+            self._on_load,
+        )
+        self._gossip = Gossip(
+            self._board, running.name, running.incarnation, running.clock, self._jobs.wake
+        )
+        self._list = ListKeeper(
+            self._directory,
+            dispatcher,
+            given.fetch,
+            running.clock,
+            self._jobs.wake,
+        )
+        runner.on_progress.append(self._on_progress)
+
+    def start(self, running: Process) -> None:
+        """Starts the tasks."""
+        running.start(self._gossip.run(self._given.reports))
+        running.start(self._jobs.run())
+        running.start(self._read_while_leading())
+
+    def extend(self, reply: HeartbeatReply, known: int, peers: set[str]) -> HeartbeatReply:
+        """Returns an answer to a heartbeat with what relaying members need.
+
+        :param known: the version of the list that the member has.
+        :param peers: where the other members take reports of load.
+        """
+        self._gossip.peers = peers
+        return msgspec.structs.replace(
+            reply,
+            backends=self._list.as_message(known),
+            backends_age=self._list.age,
+            ledgers=self._runner.addresses,
+            reports_to=self._given.reports,
+        )
+
+    async def read_results(self, body: ReadResults, check: Callable[[], None]) -> ResultsPage:
+        """Returns results, and waits for one if the asker wants that.
+
+        :param check: raises an error unless this replica may answer.
+        :raises NotFoundError: if there is no such job.
+        """
+        try:
+            async with asyncio.timeout(min(body.wait, MAX_WAIT_SECONDS)):
+                while True:
+                    job = self._job(body.job)
+                    if len(job.results) > body.first or len(job.results) == len(job.items):
+                        break
+                    listed = self._listed
+                    await listed.wait()
+        except TimeoutError:
+            pass
+        check()
+        return itemjobs.page(self._job(body.job), body.first)
+
+    def read_body(self, body: ReadItemBody) -> ItemBody:
+        """Returns the body of an item.
+
+        :raises NotFoundError: if there is none, or its job was ended.
+        """
+        data = itemjobs.body_of(self._job(body.job), body.item)
+        if data is None:
+            raise NotFoundError("no such item", step="read", field="id")
+        return ItemBody(data)
+
+    def _job(self, job_id: JobId) -> ItemJob:
+        job = self._runner.state.item_jobs.job_by_id.get(job_id)
+        if job is None:
+            raise NotFoundError("no such job", step="read", field="job")
+        return job
+
+    async def _read_while_leading(self) -> None:
+        while True:
+            if self._runner.serving:
+                await self._list.read()
+            await asyncio.sleep(READ_SECONDS)
+
+    def _on_load(self) -> None:
+        self._gossip.mark_changed()
+
+    def _on_progress(self) -> None:
+        change = control.current(self._runner.state.control)
+        if change.revision != self._routes.table.version:
+            self._routes = RouteIndex(routing.decode(change.text))
+        self._listed.set()
+        self._listed = asyncio.Event()
+        self._jobs.wake()
--- /dev/null
+++ b/verbenashore/jobrunner.py
@@ -0,0 +1,316 @@
+"""Runs the items of item jobs on backend servers, in the slots that online calls leave.
+
+The load that this answers: jobs due in many seconds beside online calls due in some hundred
+milliseconds, on servers that admit in order of arrival.  Items fill what is idle, leave a server
+as soon as online calls need their slots, and go on later from the last event that came.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from verbenashore import backendcall, itemjobs, logs, misc, routing
+from verbenashore.backendcall import Call, Dialect
+from verbenashore.board import LoadBoard
+from verbenashore.directory import BackendEntry, Directory
+from verbenashore.dispatch import Dispatcher
+from verbenashore.events import NO_NUMBER, EventSplitter
+from verbenashore.exceptions import BackendBusyError, BackendError, VerbenaError
+from verbenashore.itemjobs import Attempt, ItemJob, ItemJobBook, Outcome
+from verbenashore.logs import Event
+from verbenashore.routing import RouteIndex
+from verbenashore.types import BackendName, Clock, JobId, ServiceName
+
+#: Seconds without an event after which an item goes on at another server.
+STALL_SECONDS = 1.0
+#: Seconds before an item that failed is tried again.
+RETRY_SECONDS = 0.15
+#: Slots of each server that items leave free for the next online call.
+RESERVED_SLOTS = 1
+#: Seconds between two looks at what may start.
+LOOK_SECONDS = 0.02
+IMPOSSIBLE_STATUS = 422
+
+ItemKey = tuple[JobId, int]
+
+
+class Progress(msgspec.Struct):
+    """What an item has shown so far.
+
+    :param not_before: when it may be tried again.
+    """
+
+    texts: list[str] = msgspec.field(default_factory=list)
+    last_event: int | None = None
+    not_before: float = float("-inf")
+
+
+class Run(msgspec.Struct):
+    """One item at one server.
+
+    :param placed: true while it counts on the load board.
+    """
+
+    key: ItemKey
+    server: BackendEntry
+    due_at: float
+    placed: bool = True
+    task: asyncio.Task[Any] | None = None
+
+
+class JobRunner:
+    """The runs of one process, which exist only while it leads.
+
+    :param serving: tells whether this process may run items now.
+    :param book: returns the jobs.
+    :param routes: returns the routes in force.
+    :param commit: records how attempts ended.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        directory: Directory,
+        board: LoadBoard,
+        dispatcher: Dispatcher,
+        clock: Clock,
+        serving: Callable[[], bool],
+        book: Callable[[], ItemJobBook],
+        routes: Callable[[], RouteIndex],
+        commit: Callable[[itemjobs.RecordAttempts], Any],
+        on_load: Callable[[], None],
+    ) -> None:
+        self._dialect = dialect
+        self._directory = directory
+        self._board = board
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._serving = serving
+        self._book = book
+        self._routes = routes
+        self._commit = commit
+        self._on_load = on_load
+        self._run_by_key: dict[ItemKey, Run] = {}
+        self._progress_by_key: dict[ItemKey, Progress] = {}
+        self._given_up: set[ItemKey] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._wake = asyncio.Event()
+
+    def wake(self) -> None:
+        """Looks soon at what may start and what has to yield."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Runs items until it is cancelled."""
+        try:
+            while True:
+                try:
+                    async with asyncio.timeout(LOOK_SECONDS):
+                        await self._wake.wait()
+                except TimeoutError:
+                    pass
+                self._wake.clear()
+                self._look()
+        finally:
+            await misc.cancel_and_wait(*self._tasks)
+
+    def _look(self) -> None:
+        if not self._serving():
+            if self._run_by_key or self._progress_by_key:
+                for run in list(self._run_by_key.values()):
+                    self._stop(run, "not leading")
+                self._progress_by_key.clear()
+            return
+        self._stop_ended()
+        self._yield()
+        self._start_waiting()
+
+    def _stop_ended(self) -> None:
+        """Stops the runs whose job was ended or whose server is leaving for good."""
+        jobs = self._book().job_by_id
+        for run in list(self._run_by_key.values()):
+            job = jobs.get(run.key[0])
+            if job is None or not job.open:
+                self._stop(run, "job ended")
+        for key in [key for key in self._progress_by_key if key[0] not in jobs]:
+            del self._progress_by_key[key]
+
+    def _yield(self) -> None:
+        """Stops the least urgent runs of the servers that have more calls than slots."""
+        runs_by_server: dict[BackendName, list[Run]] = {}
+        for run in self._run_by_key.values():
+            if run.placed:
+                runs_by_server.setdefault(run.server.name, []).append(run)
+        for name, runs in runs_by_server.items():
+            total = self._board.total(name)
+            over = total.online + total.batch - runs[0].server.slots
+            for run in sorted(runs, key=lambda run: -run.due_at)[: max(0, over)]:
+                logs.info(
+                    Event.ITEM_YIELDED,
+                    **_names(run),
+                    online=total.online,
+                    batch=total.batch,
+                    events=len(self._progress_by_key[run.key].texts),
+                )
+                self._stop(run, "yielded")
+
+    def _stop(self, run: Run, reason: str) -> None:
+        self._run_by_key.pop(run.key, None)
+        self._take_off(run)
+        if run.task is not None:
+            run.task.cancel(reason)
+
+    def _take_off(self, run: Run) -> None:
+        if run.placed:
+            run.placed = False
+            self._board.add(run.server.name, batch=-1)
+            self._on_load()
+
+    def _start_waiting(self) -> None:
+        now = self._clock()
+        jobs = sorted(
+            (job for job in self._book().job_by_id.values() if job.open),
+            key=lambda job: (job.due_at, job.id),
+        )
+        free_by_service: dict[ServiceName, bool] = {}
+        for job in jobs:
+            for index, item in enumerate(job.items):
+                key = (job.id, index)
+                if item.listed or key in self._run_by_key or key in self._given_up:
+                    continue
+                progress = self._progress_by_key.setdefault(key, Progress())
+                if progress.not_before > now:
+                    continue
+                path = item.spec.target.partition("?")[0]
+                route = self._routes().find(job.host, path)
+                if route is None:
+                    self._give_up(key)
+                    continue
+                service = routing.choose_service(route, item.spec.id)
+                if not free_by_service.get(service, True):
+                    continue
+                server = self._choose(service, now)
+                free_by_service[service] = server is not None
+                if server is not None:
+                    self._start(job, key, server, progress)
+
+    def _choose(self, service: ServiceName, now: float) -> BackendEntry | None:
+        """Returns the server with the most free slots beyond the reserved ones."""
+        best = None
+        most = 0
+        for server in self._directory.of_service(service):
+            total = self._board.total(server.name)
+            free = server.slots - RESERVED_SLOTS - total.online - total.batch
+            if free > most and self._dispatcher.may_use(server.name, now):
+                best, most = server, free
+        return best
+
+    def _start(self, job: ItemJob, key: ItemKey, server: BackendEntry, progress: Progress) -> None:
+        run = Run(key, server, job.due_at)
+        self._run_by_key[key] = run
+        self._board.add(server.name, batch=1)
+        self._on_load()
+        logs.info(
+            Event.ITEM_PLACED,
+            **_names(run),
+            after=progress.last_event,
+            attempts=job.items[key[1]].failures,
+        )
+        run.task = misc.spawn(self._guarded(job, run, progress), self._tasks)
+
+    async def _guarded(self, job: ItemJob, run: Run, progress: Progress) -> None:
+        try:
+            outcome = await self._attempt(job, run, progress)
+        except BackendError as error:
+            self._retry(run, progress, error)
+            return
+        finally:
+            self._take_off(run)
+        text = "\n".join(progress.texts) if outcome is Outcome.COMPLETED else ""
+        logs.info(Event.ITEM_ENDED, **_names(run), outcome=outcome, events=len(progress.texts))
+        try:
+            attempt = Attempt(run.key[0], run.key[1], outcome, text)
+            await self._commit(itemjobs.RecordAttempts([attempt]))
+            if outcome is not Outcome.FAILED:
+                self._progress_by_key.pop(run.key, None)
+            progress.not_before = self._clock() + RETRY_SECONDS
+        except VerbenaError as error:
+            logs.warning(Event.REQUEST_FAILED, step="record", item=run.key, error=error.message)
+        finally:
+            if self._run_by_key.get(run.key) is run:
+                del self._run_by_key[run.key]
+            self.wake()
+
+    def _retry(self, run: Run, progress: Progress, error: BackendError) -> None:
+        now = self._clock()
+        progress.not_before = now + RETRY_SECONDS
+        if isinstance(error, BackendBusyError):
+            self._dispatcher.note_full(run.server.name, now)
+        else:
+            self._dispatcher.note_failure(run.server.name, now)
+        logs.warning(Event.ITEM_RETRIED, **_names(run), step=error.step, error=error.message)
+        if self._run_by_key.get(run.key) is run:
+            del self._run_by_key[run.key]
+        self.wake()
+
+    async def _attempt(self, job: ItemJob, run: Run, progress: Progress) -> Outcome:
+        spec = job.items[run.key[1]].spec
+        headers = [(name.encode(), value.encode()) for name, value in spec.headers]
+        path = spec.target.partition("?")[0]
+        call = Call(spec.id, job.host, "POST", spec.target, path, headers, spec.body)
+        async with backendcall.open_call(
+            self._dialect,
+            run.server,
+            call,
+            left=None,
+            last_event=progress.last_event,
+            progress=STALL_SECONDS,
+        ) as opened:
+            status = opened.head.status
+            if status == IMPOSSIBLE_STATUS:
+                return Outcome.IMPOSSIBLE
+            if status >= 500:
+                return Outcome.FAILED
+            if status != 200:
+                raise BackendError(f"status {status}", step="head", peer=run.server.name)
+            await self._collect(opened, run, progress)
+        self._dispatcher.note_success(run.server.name)
+        return Outcome.COMPLETED
+
+    async def _collect(self, opened: backendcall.Opened, run: Run, progress: Progress) -> None:
+        splitter = EventSplitter()
+        async for part in opened.parts():
+            for event in splitter.feed(part):
+                if event.number == NO_NUMBER:
+                    continue
+                if progress.last_event is not None and event.number != progress.last_event + 1:
+                    raise BackendError(
+                        f"event {event.number} after {progress.last_event}",
+                        step="events",
+                        peer=run.server.name,
+                    )
+                progress.texts.append(event.data)
+                progress.last_event = event.number
+        if splitter.partial.strip():
+            raise BackendError("the last event is cut off", step="events", peer=run.server.name)
+
+    def _give_up(self, key: ItemKey) -> None:
+        """Lists an item as given up, for its route is gone."""
+        self._given_up.add(key)
+        logs.info(Event.ITEM_ENDED, job=key[0], item=key[1], outcome="route gone")
+        misc.spawn(self._record_given_up(key), self._tasks)
+
+    async def _record_given_up(self, key: ItemKey) -> None:
+        try:
+            attempt = Attempt(key[0], key[1], Outcome.IMPOSSIBLE)
+            await self._commit(itemjobs.RecordAttempts([attempt]))
+        except VerbenaError as error:
+            logs.warning(Event.REQUEST_FAILED, step="record", item=key, error=error.message)
+        finally:
+            self._given_up.discard(key)
+
+
+def _names(run: Run) -> dict[str, Any]:
+    return {"job": run.key[0], "item": run.key[1], "server": run.server.name}
--- a/verbenashore/ledger.py
+++ b/verbenashore/ledger.py
@@ -9,6 +9,7 @@
 
 from verbenashore import (
     consensus,
+    control,
     files,
     jobs,
     logs,
@@ -19,13 +20,16 @@
     requests,
     settings,
 )
+from verbenashore.client import GroupClient
 from verbenashore.consensus import Role
-from verbenashore.exceptions import NotFoundError, NotLeaderError, VerbenaError
+from verbenashore.exceptions import KeyConflictError, NotFoundError, NotLeaderError, VerbenaError
+from verbenashore.jobdesk import JobDesk, RelaySettings
 from verbenashore.jobs import ItemViews
 from verbenashore.link import Reply, Server
 from verbenashore.logs import Event
 from verbenashore.messages import (
     AskIdentity,
+    AskRetirement,
     AskStatus,
     Body,
     Committed,
@@ -46,19 +50,31 @@
     Propose,
     ReadFile,
     ReadHistory,
+    ReadItemBody,
     ReadItems,
     ReadJob,
     ReadPart,
     ReadRequest,
+    ReadResults,
+    ReadVersion,
     RenewSession,
     ReplicaPacket,
+    Retirement,
     SessionRenewed,
+    StartRetirement,
 )
 from verbenashore.process import Process
 from verbenashore.replica import JoinWish, ReplicaRunner
 from verbenashore.replication import Packet, Peer
 from verbenashore.settings import Address, Setting
-from verbenashore.types import CONTROL_GROUP, GroupId, JobState, MemberName, ReplicaId
+from verbenashore.types import (
+    CONTROL_GROUP,
+    GroupId,
+    JobState,
+    MemberName,
+    MemberRole,
+    ReplicaId,
+)
 
 PROGRAM = "verbena-ledger"
 SESSION_SECONDS = 4.0
@@ -66,6 +82,8 @@
 FORM_SECONDS = 0.25
 ASK_SECONDS = 0.5
 HAND_OVER_SECONDS = 2.0
+#: Seconds without a leader after which a replica asks whether it is still a member.
+FORGOTTEN_SECONDS = 1.5
 
 
 def parse_peers(text: str) -> dict[MemberName, Address]:
@@ -90,7 +108,19 @@
     *settings.CALLED,
     Setting("data", Path, "data folder; it belongs to this process alone"),
     Setting("groups", parse_groups, "groups to run a replica of; 0 is control", "0,1"),
-    Setting("initial", parse_peers, "the replicas that form new groups, NAME=IP:PORT,..."),
+    Setting("initial", parse_peers, "the replicas that form new groups, NAME=IP:PORT,...", ""),
+    Setting(
+        "seeds",
+        settings.parse_addresses,
+        "some ledger processes, in place of --initial: the first ones form new groups",
+        "",
+    ),
+    Setting(
+        "bootstrap",
+        settings.parse_choice("yes", "no"),
+        "whether this may form new groups; no for a replaced process or disk",
+        "yes",
+    ),
     Setting("replicas", settings.parse_count, "voters that a group should have", "3"),
     Setting(
         "replace-after",
@@ -141,10 +171,12 @@
 class LedgerProcess:
     """The replicas of one process and the calls to them."""
 
-    def __init__(self, running: Process) -> None:
+    def __init__(self, running: Process, relay: RelaySettings | None = None) -> None:
         self._process = running
         self._settings = running.settings
         self._clock = running.clock
+        self.seeds = {str(address) for address in self._settings.seeds}
+        self.known_seeds = set(self.seeds)
         self._members = members.MemberTable()
         self._members_term = -1
         self._address_by_replica: dict[ReplicaId, str] = {}
@@ -165,6 +197,10 @@
             for group in self._settings.groups
         }
         self._sessions_by_group = {group: Sessions() for group in self._settings.groups}
+        self.control = GroupClient(CONTROL_GROUP, running.links, [own[1]], running.clock)
+        self._desk: JobDesk | None = None
+        if relay is not None:
+            self._desk = JobDesk(running, self._runner_by_group[CONTROL_GROUP], relay)
 
     async def run(self) -> None:
         """Serves until told to stop, then hands leaderships over."""
@@ -183,12 +219,18 @@
             self._process.start(runner.run())
             self._process.start(self._form(runner))
             self._process.start(self._sweep(group, runner))
+        if self._desk is not None:
+            self._desk.start(self._process)
         self._process.ready = True
         logs.info(Event.READY, listen=self._settings.listen)
         await self._process.wait_for_stop()
         logs.info(Event.STOPPING)
         await self._hand_over()
 
+    def add_seeds(self, seeds: list[str]) -> None:
+        """Notes more ledger processes that may know the group."""
+        self.known_seeds |= set(seeds)
+
     def on_packet(self, message: ReplicaPacket) -> None:
         """Takes a consensus message."""
         runner = self._runner_by_group.get(message.group)
@@ -210,6 +252,10 @@
         if isinstance(body, ReadHistory):
             runner = self._serving(CONTROL_GROUP)
             return History(runner.state.control.history)
+        if isinstance(body, ReadVersion):
+            return control.current(self._serving(CONTROL_GROUP).state.control)
+        if isinstance(body, StartRetirement | AskRetirement):
+            return await self._on_retirement(body)
         group = GroupId(getattr(body, "group", -1))
         if group not in self._runner_by_group:
             raise NotFoundError(f"no replica of group {group} here", step="route", not_run=True)
@@ -221,8 +267,43 @@
             return await self._on_propose(body)
         if isinstance(body, RenewSession):
             return self._on_renew(body)
+        if isinstance(body, ReadResults | ReadItemBody):
+            return await self._read_item_job(body)
         return self._read(self._serving(group).state, body)
 
+    async def _read_item_job(self, body: ReadResults | ReadItemBody) -> Body:
+        runner = self._serving(body.group)
+        if self._desk is None:
+            raise NotFoundError("this process relays no jobs", step="route")
+        if isinstance(body, ReadResults):
+            return await self._desk.read_results(body, runner.check_serving)
+        return self._desk.read_body(body)
+
+    async def _on_retirement(self, body: StartRetirement | AskRetirement) -> Retirement:
+        """Starts the retirement of a process, or tells how far it is."""
+        runner = self._serving(CONTROL_GROUP)
+        known = consensus.membership(runner.core)
+        peers = [*known.voters, *known.learners]
+        marked = runner.state.control.retired_by_name.get(body.name, [])
+        if isinstance(body, StartRetirement) and not marked:
+            replicas = [peer.id for peer in peers if peer.name == body.name]
+            if not replicas:
+                raise NotFoundError(f"no replica of {body.name!r}", step="retire", field="name")
+            retired = control.retired(runner.state.control)
+            left = {p.name for p in peers if p.id not in retired} - {body.name}
+            if len(left) < runner.size:
+                raise KeyConflictError("too few ledger processes would be left", step="retire")
+            logs.info(Event.RETIREMENT_STARTED, member=body.name, replicas=replicas)
+            await runner.propose(control.RetireReplicas(body.name, replicas))
+            return Retirement(False)
+        if not marked:
+            raise NotFoundError(f"{body.name!r} was not retired", step="retire", field="name")
+        settled = len(known.voters) <= runner.size and not consensus.change_is_pending(runner.core)
+        ended = settled and not any(peer.id in marked for peer in peers)
+        if ended:
+            logs.info(Event.RETIREMENT_ENDED, member=body.name)
+        return Retirement(ended)
+
     def _serving(self, group: GroupId) -> ReplicaRunner:
         runner = self._runner_by_group.get(group)
         if runner is None:
@@ -257,8 +338,16 @@
             self._members_term = runner.core.hard.term
             self._members = members.new_table(self._members_term, now)
         self._sessions(CONTROL_GROUP).renew(MemberName(body.member.incarnation), now)
-        change = machine.control.current(runner.state.control)
-        return members.heard(self._members, body, change, now)
+        change = control.current(runner.state.control)
+        reply = members.heard(self._members, body, change, now)
+        if self._desk is None:
+            return reply
+        entries = {
+            member.address
+            for member in self._members.by_name.values()
+            if member.role is MemberRole.ENTRY
+        }
+        return self._desk.extend(reply, body.backends_version, entries)
 
     def _on_join(self, body: JoinGroup) -> Body:
         runner = self._serving(body.group)
@@ -322,12 +411,17 @@
         """Forms the group, or asks to be taken in, until this replica is a member."""
         while True:
             known = consensus.membership(runner.core)
-            if runner.peer not in (*known.voters, *known.learners):
+            if runner.group == CONTROL_GROUP and runner.addresses:
+                self.control.keep_addresses(runner.addresses)
+            member = runner.peer in (*known.voters, *known.learners)
+            silent = self._clock() - runner.core.heard_leader > FORGOTTEN_SECONDS
+            if not member or (silent and runner.core.role is not Role.LEADER):
                 await self._ask_in(runner)
             await asyncio.sleep(FORM_SECONDS)
 
     async def _ask_in(self, runner: ReplicaRunner) -> None:
         addresses = {str(address) for address in self._settings.initial.values()}
+        addresses |= self.known_seeds
         known = consensus.membership(runner.core)
         addresses |= {peer.address for peer in (*known.voters, *known.learners)}
         addresses.discard(settings.advertised(self._settings))
@@ -341,17 +435,27 @@
         if formed:
             leaders = {identity.leader for identity in formed if identity.leader}
             await asyncio.gather(*(self._join(runner, leader) for leader in sorted(leaders)))
-        elif not runner.formed:
+        elif not runner.formed and self._settings.bootstrap == "yes":
             self._bootstrap_if_first(runner, found)
 
     def _bootstrap_if_first(self, runner: ReplicaRunner, found: list[Identity]) -> None:
         """Forms the group if all its initial replicas are new and this one comes first."""
+        if self.seeds:
+            self._bootstrap_if_first_seed(runner, found)
+            return
         initial = self._settings.initial
         peers = {identity.peer.name: identity.peer for identity in found}
         peers[self._process.name] = runner.peer
         if set(initial) <= set(peers) and self._process.name == min(initial):
             runner.bootstrap(tuple(peers[name] for name in sorted(initial)))
 
+    def _bootstrap_if_first_seed(self, runner: ReplicaRunner, found: list[Identity]) -> None:
+        """Forms the group if all seeds are new and this is the first of them."""
+        peers = {identity.peer.address: identity.peer for identity in found}
+        peers[runner.peer.address] = runner.peer
+        if self.seeds <= set(peers) and runner.peer.address == min(self.seeds):
+            runner.bootstrap(tuple(peers[address] for address in sorted(self.seeds)))
+
     async def _ask_identity(self, group: GroupId, address: str) -> Identity | None:
         with contextlib.suppress(VerbenaError):
             answer = await self._process.links.to(address).call(AskIdentity(group), ASK_SECONDS)
--- a/verbenashore/machine.py
+++ b/verbenashore/machine.py
@@ -5,9 +5,10 @@
 
 import msgspec
 
-from verbenashore import control, files, jobs, requests
+from verbenashore import control, files, itemjobs, jobs, requests
 from verbenashore.control import ControlState
 from verbenashore.files import FileBook
+from verbenashore.itemjobs import ItemJobBook
 from verbenashore.jobs import JobBook
 from verbenashore.requests import RequestBook
 from verbenashore.types import GroupId, JobState, MemberName
@@ -44,7 +45,12 @@
     | jobs.CancelJob
     | jobs.LeaseItems
     | jobs.CompleteItems
+    | itemjobs.SubmitItemJob
+    | itemjobs.RecordAttempts
+    | itemjobs.EndItemJob
     | control.ApplyChange
+    | control.ApplyVersion
+    | control.RetireReplicas
     | control.LeaseBackend
     | control.LoadPermit
     | ExpireHolder
@@ -58,6 +64,7 @@
     | jobs.JobView
     | jobs.LeasedItems
     | files.Done
+    | itemjobs.SubmitResult
     | control.ChangeResult
     | control.BackendLease
     | None
@@ -84,6 +91,7 @@
     files: FileBook = msgspec.field(default_factory=FileBook)
     jobs: JobBook = msgspec.field(default_factory=JobBook)
     control: ControlState = msgspec.field(default_factory=ControlState)
+    item_jobs: ItemJobBook = msgspec.field(default_factory=ItemJobBook)
 
 
 _stamped_decoder = msgspec.msgpack.Decoder(Stamped)
@@ -135,6 +143,7 @@
         requests.has_ended_records(state.requests, now)
         or files.has_expired(state.files, now)
         or jobs.has_expired(state.jobs, now)
+        or itemjobs.has_expired(state.item_jobs, now)
     )
 
 
@@ -146,10 +155,16 @@
     return files.Done()
 
 
+def _retire(state: GroupState, command: control.RetireReplicas) -> Result:
+    control.retire(state.control, command)
+    return files.Done()
+
+
 def _advance(state: GroupState, command: Advance) -> Result:
     requests.purge(state.requests, state.time)
     files.expire(state.files, state.time)
     jobs.expire(state.jobs, state.time)
+    itemjobs.expire(state.item_jobs, state.time)
     return files.Done()
 
 
@@ -168,7 +183,12 @@
     jobs.CancelJob: lambda s, c: jobs.cancel_job(s.jobs, c, s.time),
     jobs.LeaseItems: lambda s, c: jobs.lease_items(s.jobs, c, s.time),
     jobs.CompleteItems: lambda s, c: jobs.complete_items(s.jobs, c, s.time),
+    itemjobs.SubmitItemJob: lambda s, c: itemjobs.submit(s.item_jobs, c, s.time),
+    itemjobs.RecordAttempts: lambda s, c: itemjobs.record(s.item_jobs, c),
+    itemjobs.EndItemJob: lambda s, c: itemjobs.end(s.item_jobs, c),
     control.ApplyChange: lambda s, c: control.apply_change(s.control, c),
+    control.ApplyVersion: lambda s, c: control.apply_version(s.control, c),
+    control.RetireReplicas: _retire,
     control.LeaseBackend: lambda s, c: control.lease_backend(s.control, c, s.applied),
     control.LoadPermit: lambda s, c: files.Done(control.load_permit(s.control, c)),
     ExpireHolder: _end_session,
--- a/verbenashore/messages.py
+++ b/verbenashore/messages.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from verbenashore import control, files, jobs, machine, replication, requests
+from verbenashore import control, files, itemjobs, jobs, machine, replication, requests
+from verbenashore.directory import BackendList
 from verbenashore.types import (
     BackendName,
     FileId,
@@ -232,10 +233,12 @@
     """Tells the control group's leader that a member lives.
 
     :param members_version: the member list that it knows.
+    :param backends_version: the list of backend servers that it knows.
     """
 
     member: Member
     members_version: int
+    backends_version: int = -1
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, array_like=True, tag="heartbeat_reply"):
@@ -244,12 +247,68 @@
     :param change: the configuration, if the member is behind.
     :param members: the live members, if the list changed.
     :param complete: false while a new leader has not heard everybody yet.
+    :param backends: the backend servers, if the list changed.
+    :param backends_age: seconds since the leader read the list; negative if it never did.
+    :param ledgers: the addresses of the group's replicas.
+    :param reports_to: where the leader takes reports of load; "" if it takes none.
     """
 
     change: control.Change | None
     members_version: int
     members: list[Member] | None
     complete: bool
+    backends: BackendList | None = None
+    backends_age: float = -1.0
+    ledgers: list[str] = msgspec.field(default_factory=list)
+    reports_to: str = ""
+
+
+class ReadVersion(msgspec.Struct, frozen=True, array_like=True, tag="read_version"):
+    """Asks the control group's leader for the configuration that is in force."""
+
+
+class ReadResults(msgspec.Struct, frozen=True, array_like=True, tag="read_results"):
+    """Asks for the results of an item job from a position on.
+
+    :param wait: seconds to wait for one if there is none yet.
+    """
+
+    group: GroupId
+    job: JobId
+    first: int
+    wait: float
+
+
+class ReadItemBody(msgspec.Struct, frozen=True, array_like=True, tag="read_item_body"):
+    """Asks for the body of an item."""
+
+    group: GroupId
+    job: JobId
+    item: str
+
+
+class ItemBody(msgspec.Struct, frozen=True, array_like=True, tag="item_body"):
+    """The body of an item."""
+
+    data: bytes
+
+
+class StartRetirement(msgspec.Struct, frozen=True, array_like=True, tag="start_retirement"):
+    """Asks that a process's replicas be replaced by others, so that it can be taken away."""
+
+    name: MemberName
+
+
+class AskRetirement(msgspec.Struct, frozen=True, array_like=True, tag="ask_retirement"):
+    """Asks whether a process may be taken away."""
+
+    name: MemberName
+
+
+class Retirement(msgspec.Struct, frozen=True, array_like=True, tag="retirement"):
+    """Answers how far the retirement of a process is."""
+
+    ended: bool
 
 
 class AskStatus(msgspec.Struct, frozen=True, array_like=True, tag="ask_status"):
@@ -393,6 +452,15 @@
     | Members
     | Heartbeat
     | HeartbeatReply
+    | ReadVersion
+    | control.Change
+    | ReadResults
+    | itemjobs.ResultsPage
+    | ReadItemBody
+    | ItemBody
+    | StartRetirement
+    | AskRetirement
+    | Retirement
     | AskStatus
     | LedgerStatus
     | AskLoad
--- a/verbenashore/repair.py
+++ b/verbenashore/repair.py
@@ -3,31 +3,53 @@
 from verbenashore import consensus
 from verbenashore.consensus import Replica
 from verbenashore.replication import Membership, Peer
+from verbenashore.types import ReplicaId
 
+NO_REPLICAS: frozenset[ReplicaId] = frozenset()
 
-def next_change(replica: Replica, size: int, now: float) -> Membership | None:
+
+def next_change(
+    replica: Replica, size: int, now: float, retired: frozenset[ReplicaId] = NO_REPLICAS
+) -> Membership | None:
     """Chooses the next change that repairs the group's membership, if one is due.
 
     :param size: how many voters the group should have.
+    :param retired: replicas that are to be replaced although they live.
     """
     current = consensus.membership(replica)
     if not consensus.may_serve(replica, now) or consensus.change_is_pending(replica):
         return None
-    ready = [peer for peer in current.learners if _is_caught_up(replica, peer, now)]
+    caught_up = [peer for peer in current.learners if _is_caught_up(replica, peer, now)]
+    ready = [peer for peer in caught_up if peer.id not in retired]
     names = {peer.name for peer in ready}
-    dead = [peer for peer in current.voters if _is_silent(replica, peer, now)]
+    newest_by_name = {peer.name: peer.id for peer in current.voters}
+    # A process has one folder: its new replica shows that the old one's disk is gone.
+    dead = [
+        peer
+        for peer in current.voters
+        if peer.id in retired
+        or peer.name in names
+        or newest_by_name[peer.name] != peer.id
+        or _is_silent(replica, peer, now)
+    ]
     replaced = [peer for peer in dead if peer.name in names] or dead
     if ready and (len(current.voters) < size or (replaced and len(current.voters) == size)):
         wanted = {peer.name for peer in replaced}
         chosen = next((peer for peer in ready if peer.name in wanted), ready[0])
         return _without(current, chosen, voters=(*current.voters, chosen))
-    if dead and len(current.voters) > size:
-        voter_names = [peer.name for peer in current.voters]
-        gone = next((peer for peer in dead if voter_names.count(peer.name) > 1), dead[0])
+    removable = [peer for peer in dead if peer.id != replica.id]
+    if removable and len(current.voters) > size:
+        gone = next(
+            (peer for peer in removable if newest_by_name[peer.name] != peer.id),
+            next((peer for peer in removable if peer.id in retired), removable[0]),
+        )
         return Membership(
             tuple(peer for peer in current.voters if peer.id != gone.id), current.learners
         )
-    lost = next((peer for peer in current.learners if _is_silent(replica, peer, now)), None)
+    lost = next(
+        (peer for peer in current.learners if peer.id in retired or _is_silent(replica, peer, now)),
+        None,
+    )
     return _without(current, lost, voters=current.voters) if lost else None
 
 
--- a/verbenashore/replica.py
+++ b/verbenashore/replica.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from verbenashore import consensus, logs, machine, misc, repair, replication, storage
+from verbenashore import consensus, control, logs, machine, misc, repair, replication, storage
 from verbenashore.consensus import Role
 from verbenashore.exceptions import NotLeaderError, UnavailableError
 from verbenashore.logs import Event
@@ -17,6 +17,8 @@
 from verbenashore.types import Clock, GroupId, LogIndex, MemberName
 
 TICK_SECONDS = 0.02
+#: Seconds between two tries of a retired leader to give its leadership away.
+HAND_OVER_SECONDS = 2.0
 
 
 class Proposal(msgspec.Struct):
@@ -100,6 +102,9 @@
         self._clock_base = 0.0
         self._was_serving = False
         self._was_leader = False
+        self._handed_over_at = float("-inf")
+        #: Called after committed commands were applied, and when leadership changes.
+        self.on_progress: list[Callable[[], None]] = []
 
     @property
     def formed(self) -> bool:
@@ -111,6 +116,12 @@
         """True if this replica leads and may answer at this moment."""
         return consensus.may_serve(self.core, self._clock())
 
+    @property
+    def addresses(self) -> list[str]:
+        """The addresses of all replicas of the group."""
+        known = consensus.membership(self.core)
+        return sorted({peer.address for peer in (*known.voters, *known.learners)})
+
     @property
     def leader_address(self) -> str:
         """The address of the leader, if it is known."""
@@ -214,6 +225,8 @@
 
     def _admit(self, peer: Peer, now: float) -> None:
         """Takes a replica in as a learner, or notes its new address."""
+        if peer.id in control.retired(self.state.control):
+            return
         known = consensus.membership(self.core)
         found = next((p for p in (*known.voters, *known.learners) if p.id == peer.id), None)
         if found == peer:
@@ -243,9 +256,25 @@
             self.leader_known.set()
         else:
             self.leader_known.clear()
+        if serving != self._was_serving:
+            self._tell()
         self._was_serving = serving
         self._was_leader = leading
-        change = repair.next_change(self.core, self.size, self._clock())
+        self._repair()
+
+    def _tell(self) -> None:
+        for tell in self.on_progress:
+            tell()
+
+    def _repair(self) -> None:
+        """Starts the next change of the membership, if one is due."""
+        retired = control.retired(self.state.control)
+        now = self._clock()
+        many = len(consensus.membership(self.core).voters) > self.size
+        if self.peer.id in retired and many and now > self._handed_over_at + HAND_OVER_SECONDS:
+            self._handed_over_at = now
+            consensus.hand_over(self.core, now)
+        change = repair.next_change(self.core, self.size, self._clock(), retired)
         if change is not None:
             names = [peer.name for peer in change.voters]
             logs.info(Event.REPLICA_REMOVED, group=self.group, voters=names)
@@ -290,6 +319,11 @@
         self._send(peer or Peer(packet.to, MemberName(""), ""), packet)
 
     def _apply(self, entries: list[LogEntry]) -> None:
+        self._apply_each(entries)
+        if entries:
+            self._tell()
+
+    def _apply_each(self, entries: list[LogEntry]) -> None:
         for entry in entries:
             result = None
             if entry.kind is EntryKind.COMMAND:
--- a/verbenashore/view.py
+++ b/verbenashore/view.py
@@ -2,11 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 from verbenashore import deployment, logs
 from verbenashore.client import GroupClient
 from verbenashore.control import Change
-from verbenashore.deployment import Deployment
 from verbenashore.exceptions import DeploymentError, VerbenaError
 from verbenashore.logs import Event
 from verbenashore.messages import Heartbeat, HeartbeatReply, Member
@@ -20,7 +20,9 @@
 class SystemView:
     """Keeps a process's knowledge fresh by heartbeats; it never goes back to an older revision.
 
+    :param parse: reads the text of a configuration.
     :param confirmed_at: when the newest answered heartbeat was sent, on the process's clock.
+    :param deployment: the configuration in force, as ``parse`` gave it.
     """
 
     def __init__(
@@ -30,6 +32,7 @@
         role: MemberRole,
         address: str,
         backend: BackendName,
+        parse: Callable[[str], Any] = deployment.parse,
     ) -> None:
         self._process = running
         self._control = control
@@ -41,9 +44,13 @@
         self.state = MemberState.SERVING
         self.confirmed_at = float("-inf")
         self.change: Change | None = None
-        self.deployment = Deployment()
+        self._parse = parse
+        self._lost = False
+        self.backends_version = -1
+        self.deployment: Any = parse("")
         self.members: dict[MemberName, Member] = {}
         self.on_change: list[Callable[[], None]] = []
+        self.on_reply: list[Callable[[HeartbeatReply], None]] = []
 
     @property
     def revision(self) -> Revision:
@@ -66,7 +73,7 @@
             try:
                 await self.beat()
             except VerbenaError as error:
-                logs.warning(Event.REQUEST_FAILED, step="heartbeat", error=error.message)
+                self._note_lost(error)
             try:
                 async with asyncio.timeout(HEARTBEAT_SECONDS):
                     await self._wake.wait()
@@ -77,16 +84,28 @@
     async def beat(self) -> None:
         """Sends one heartbeat and takes in its answer."""
         sent_at = self._process.clock()
-        heartbeat = Heartbeat(self._member(), self._members_version)
+        heartbeat = Heartbeat(self._member(), self._members_version, self.backends_version)
         reply = await self._control.ask(heartbeat, HEARTBEAT_DEADLINE)
         if not isinstance(reply, HeartbeatReply):
             raise VerbenaError("unexpected answer", step="heartbeat")
         self.confirmed_at = sent_at
+        if self._lost:
+            self._lost = False
+            logs.info(Event.CONTROL_REGAINED, revision=self.revision)
+        self._control.keep_addresses(reply.ledgers)
+        for tell in self.on_reply:
+            tell(reply)
         if reply.change is not None:
             self._install(reply.change)
         if reply.members is not None:
             self._take_members(reply)
 
+    def _note_lost(self, error: VerbenaError) -> None:
+        if not self._lost:
+            age = round(self._process.clock() - self.confirmed_at, 3)
+            logs.warning(Event.CONTROL_LOST, error=error.message, confirmed_age=age)
+        self._lost = True
+
     def _member(self) -> Member:
         settings = self._process.settings
         return Member(
@@ -105,7 +124,7 @@
         if change.revision <= self.revision:
             return
         try:
-            parsed = deployment.parse(change.text)
+            parsed = self._parse(change.text)
         except DeploymentError as error:
             logs.warning(Event.CONFIGURATION_REFUSED, revision=change.revision, error=str(error))
             return
