Probe suspected servers, share what was found unreachable, tell refused callers when to return

Change: a server that can't be reached is suspected until a status check succeeds; the first finder tells the others. Every refusal that has not run carries a Retry-After; after a start it is spread over 0.8 to 1.6 s. New connections inside the system are tried every 100 ms at the latest.

Ruled out: telling on what others told.

--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -6,13 +6,17 @@
 
 import msgspec
 
-from verbenashore import httpclient
+from verbenashore import httpclient, logs
 from verbenashore.directory import BackendEntry
+from verbenashore.dispatch import Failure
 from verbenashore.exceptions import BackendBusyError, BackendError, BackendReplacedError
 from verbenashore.httpclient import Exchange
+from verbenashore.logs import Event
 
 #: Seconds for a new connection; the servers answer one within a few round trips.
-CONNECT_SECONDS = 0.25
+CONNECT_SECONDS = 0.1
+#: Seconds for a status check, which waits for a slot like any call.
+PROBE_SECONDS = 0.4
 
 
 class Call(msgspec.Struct):
@@ -78,6 +82,27 @@
             yield part
 
 
+async def probe(dialect: Dialect, server: BackendEntry, path: str) -> bool:
+    """Asks a server's status check; false if it isn't well or can't be reached."""
+    check = Call("", server.address, "GET", path, path, [], b"")
+    headers = dialect.call_headers(check, server, None, None)
+    try:
+        answer = await httpclient.request(
+            server.address, "GET", path, seconds=PROBE_SECONDS, headers=headers
+        )
+    except BackendError as error:
+        logs.info(Event.PROBE_FAILED, server=server.name, step=error.step, error=error.message)
+        return False
+    return answer.status == 200
+
+
+def failure_kind(error: BackendError) -> Failure:
+    """Returns how a call failed."""
+    if error.step == "connect":
+        return Failure.UNREACHABLE
+    return Failure.SILENT if error.step == "read" else Failure.BROKEN
+
+
 @contextlib.asynccontextmanager
 async def open_call(
     dialect: Dialect,
--- a/verbenashore/board.py
+++ b/verbenashore/board.py
@@ -24,12 +24,14 @@
 
     :param incarnation: differs for every start of the member.
     :param number: rises with every report of an incarnation.
+    :param suspects: servers that the member found unreachable.
     """
 
     member: MemberName
     incarnation: str
     number: int
     load_by_backend: dict[BackendName, Load]
+    suspects: list[BackendName] = msgspec.field(default_factory=list)
 
 
 class Heard(msgspec.Struct):
--- a/verbenashore/client.py
+++ b/verbenashore/client.py
@@ -84,10 +84,13 @@
             raise VerbenaError("unexpected answer", step="propose", peer=self._leader)
         return answer.result
 
-    async def ask(self, body: Body, seconds: float, wait: float = 0.0) -> Body:
+    async def ask(
+        self, body: Body, seconds: float, wait: float = 0.0, attempt: float = ATTEMPT_SECONDS
+    ) -> Body:
         """Asks the leader, and looks for it while there is time.
 
         :param wait: seconds that the leader may take before it answers.
+        :param attempt: seconds for each replica that is asked, beside the wait.
         :raises UnavailableError: if no leader answered in time.
         """
         deadline = self._clock() + seconds
@@ -95,7 +98,7 @@
         while (left := deadline - self._clock()) > 0:
             address = self._leader
             try:
-                return await self._links.to(address).call(body, min(ATTEMPT_SECONDS + wait, left))
+                return await self._links.to(address).call(body, min(attempt + wait, left))
             except NotLeaderError as error:
                 last = error
                 if self._follow(address, error.peer):
--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -22,8 +22,15 @@
 MIN_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 1.6
 #: Seconds for which a server that failed is passed over; doubles up to the second figure.
-SUSPEND_SECONDS = 0.4
-MAX_SUSPEND_SECONDS = 3.0
+SUSPEND_SECONDS = 0.3
+MAX_SUSPEND_SECONDS = 2.0
+#: Soft failures in a row after which a server is suspected; single lost answers are common.
+SOFT_FAILURES = 2
+#: Seconds between two probes of a suspected server.
+PROBE_SECONDS = 0.25
+#: Seconds after which a suspected server gets a call although no probe succeeded, for a status
+#: check may be wrong.
+PROBE_PATIENCE_SECONDS = 4.0
 #: Seconds for which a server that said that it is full gets nothing more.
 FULL_SECONDS = 0.05
 #: Weight of the newest call in the mean time that a service's calls take.
@@ -66,15 +73,36 @@
     reason: str = ""
 
 
+class Failure(Enum):
+    """How a call failed at a server.
+
+    UNREACHABLE: no connection.  SILENT: no answer in time.  BROKEN: an answer that is cut off or
+    can't be read.  REPORTED: another member found it unreachable.
+    """
+
+    UNREACHABLE = "unreachable"
+    SILENT = "silent"
+    BROKEN = "broken"
+    REPORTED = "reported"
+
+
 class Health(msgspec.Struct):
     """What calls showed of one server.
 
     :param avoid_until: it gets nothing before this time.
     :param failures: in a row.
+    :param suspected: it gets nothing before a probe succeeds, either.
+    :param hearsay: only another member found it unreachable; that isn't told on.
+    :param since: when it was suspected.
+    :param probe_at: when it is to be probed next.
     """
 
     avoid_until: float = float("-inf")
     failures: int = 0
+    suspected: bool = False
+    hearsay: bool = False
+    since: float = float("-inf")
+    probe_at: float = float("inf")
 
 
 WAITING = Decision(Verdict.WAITING)
@@ -151,14 +179,55 @@
 
     def note_success(self, name: BackendName) -> None:
         """Notes that a server answered as it should."""
-        self._health_by_name.pop(name, None)
+        health = self._health_by_name.get(name)
+        if health is not None and not health.suspected:
+            del self._health_by_name[name]
 
-    def note_failure(self, name: BackendName, now: float) -> None:
-        """Passes a server over for a while, longer with each failure in a row."""
+    def note_failure(self, name: BackendName, kind: Failure, now: float) -> bool:
+        """Notes a failed call; true if the server is suspected from now on.
+
+        It is passed over for a while, longer with each failure in a row.
+        """
         health = self._health_by_name.setdefault(name, Health())
+        if kind is Failure.REPORTED and health.suspected:
+            return False
         health.failures += 1
-        pause = min(MAX_SUSPEND_SECONDS, SUSPEND_SECONDS * 2 ** (health.failures - 1))
-        health.avoid_until = now + pause
+        if kind in (Failure.SILENT, Failure.BROKEN) and health.failures < SOFT_FAILURES:
+            return False
+        newly = not health.suspected
+        pause = min(MAX_SUSPEND_SECONDS, SUSPEND_SECONDS * 2 ** min(8, health.failures - 1))
+        health.avoid_until = now + (SUSPEND_SECONDS if kind is Failure.REPORTED else pause)
+        health.suspected = True
+        health.hearsay = kind is Failure.REPORTED
+        health.since = now
+        health.probe_at = min(health.probe_at, now + PROBE_SECONDS)
+        return newly
+
+    def due_probes(self, now: float) -> list[BackendEntry]:
+        """Returns the suspected servers that are to be probed now."""
+        due = []
+        for name, health in self._health_by_name.items():
+            server = self._directory.by_name.get(name)
+            if health.suspected and now >= health.probe_at and server is not None:
+                health.probe_at = now + PROBE_SECONDS
+                due.append(server)
+        return due
+
+    def note_probe(self, name: BackendName) -> None:
+        """Notes that a probe succeeded: the server may get calls again."""
+        health = self._health_by_name.get(name)
+        if health is not None:
+            health.suspected = False
+            health.probe_at = float("inf")
+
+    @property
+    def suspects(self) -> list[BackendName]:
+        """The servers that this process itself suspects at present."""
+        return [
+            name
+            for name, health in self._health_by_name.items()
+            if health.suspected and not health.hearsay
+        ]
 
     def note_full(self, name: BackendName, now: float) -> None:
         """Notes that a server refused a call because it is full."""
@@ -173,7 +242,10 @@
     def may_use(self, name: BackendName, now: float) -> bool:
         """Tells whether a server is not passed over at present."""
         health = self._health_by_name.get(name)
-        return health is None or now >= health.avoid_until
+        if health is None:
+            return True
+        trusted = not health.suspected or now >= health.since + PROBE_PATIENCE_SECONDS
+        return trusted and now >= health.avoid_until
 
     def choose(self, ticket: Ticket, now: float) -> BackendEntry | None:
         """Returns the best server with a free place, or None."""
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -8,13 +8,12 @@
 
 from verbenashore import backendcall, httpserver, itemjobs, logs, misc, routing
 from verbenashore.backendcall import Call, Dialect, Opened
-from verbenashore.board import LoadBoard
+from verbenashore.board import LoadBoard, Report
 from verbenashore.client import GroupClient
 from verbenashore.directory import BackendEntry, Directory
 from verbenashore.dispatch import Decision, Dispatcher, Ticket, Verdict
 from verbenashore.events import NO_NUMBER, EventSplitter
 from verbenashore.exceptions import (
-    BackendBusyError,
     BackendError,
     DeadlineError,
     NotFoundError,
@@ -30,6 +29,7 @@
 from verbenashore.listing import ListKeeper
 from verbenashore.logs import Event
 from verbenashore.messages import HeartbeatReply, ItemBody, ReadItemBody, ReadResults
+from verbenashore.prober import Prober
 from verbenashore.process import Process
 from verbenashore.routing import Route, RouteIndex, RouteKind, RouteTable
 from verbenashore.types import (
@@ -50,6 +50,10 @@
 STALL_SHARE = 0.6
 #: Longest silence in seconds on a stream that declares no pause.
 DEFAULT_PAUSE_SECONDS = 1.0
+#: Seconds after which an entry that has just started will know its configuration, as callers
+#: are told; spread over the second part so that they don't return at once.
+START_SECONDS = 0.8
+START_SPREAD_SECONDS = 0.8
 #: Servers that may refuse one call without running it.
 MAX_REFUSALS = 4
 #: Seconds for a job's commit, and for a read of its results beyond the asked wait.
@@ -123,8 +127,16 @@
         self._list = ListKeeper(
             self._directory, self._dispatcher, given.fetch, running.clock, self._on_list
         )
+        self._prober = Prober(
+            self._dialect, self._dispatcher, running.clock, lambda: self.routes, self._on_health
+        )
         self._gossip = Gossip(
-            self._board, running.name, running.incarnation, running.clock, self._wake.set
+            self._board,
+            running.name,
+            running.incarnation,
+            running.clock,
+            self._on_report,
+            lambda: self._dispatcher.suspects,
         )
         self._future_by_ticket: dict[Ticket, asyncio.Future[Decision]] = {}
         self._random = random.Random(misc.quick_hash(running.incarnation))
@@ -138,6 +150,7 @@
         self._process.start(self._view.run())
         self._process.start(self._gossip.run(self._reports))
         self._process.start(self._keep_list())
+        self._process.start(self._prober.run())
         self._process.start(self._poll_tickets())
         await self._process.wait_for_stop()
         logs.info(Event.STOPPING, open_calls=sum(load.online for load in self._board.own.values()))
@@ -151,11 +164,12 @@
     def find_route(self, host: str, path: str) -> Route:
         """Returns the route of a call.
 
-        :raises UnavailableError: if no configuration is known yet.
+        :raises OverloadedError: if no configuration is known yet.
         :raises NotFoundError: if no route has the path.
         """
         if not self.routes.table.version:
-            raise UnavailableError("no configuration is known yet", step="route", not_run=True)
+            later = START_SECONDS + START_SPREAD_SECONDS * self._random.random()
+            raise OverloadedError("no configuration is known", step="place", retry_after=later)
         route = self.routes.find(host, path)
         if route is None:
             raise NotFoundError(f"no route for {host}{path}", step="route", not_run=True)
@@ -273,10 +287,7 @@
         now = self._clock()
         relay.ticket.excluded.add(server.name)
         relay.ticket.begun = relay.runs > 0
-        if isinstance(error, BackendBusyError):
-            self._dispatcher.note_full(server.name, now)
-        else:
-            self._dispatcher.note_failure(server.name, now)
+        self._prober.note_error(server.name, error)
         if error.not_run:
             relay.refusals += 1
         logs.info(
@@ -443,6 +454,15 @@
         peers = {member.address for member in others.values() if member.role is MemberRole.ENTRY}
         self._gossip.peers = (peers | {leader}) - {self._reports, ""}
 
+    def _on_report(self, report: Report | None) -> None:
+        if report is not None:
+            self._prober.take(report)
+        self._wake.set()
+
+    def _on_health(self) -> None:
+        self._gossip.mark_changed()
+        self._wake.set()
+
     def _on_list(self) -> None:
         self._wake.set()
         self._set_ready()
--- a/verbenashore/gossip.py
+++ b/verbenashore/gossip.py
@@ -13,7 +13,7 @@
 from verbenashore.board import LoadBoard, Report
 from verbenashore.logs import Event
 from verbenashore.settings import parse_address
-from verbenashore.types import Clock, MemberName
+from verbenashore.types import BackendName, Clock, MemberName
 
 #: Shortest time between two reports, in seconds; changes within it share one.
 MIN_INTERVAL_SECONDS = 0.01
@@ -27,7 +27,9 @@
 class Gossip(asyncio.DatagramProtocol):
     """Owns the socket for reports.
 
-    :param on_report: called after another member's report was taken in.
+    :param on_report: called with another member's report after it was taken in, and with None
+        when one has expired.
+    :param suspects: returns the servers that this member found unreachable.
     """
 
     def __init__(
@@ -36,13 +38,15 @@
         member: MemberName,
         incarnation: str,
         clock: Clock,
-        on_report: Callable[[], None],
+        on_report: Callable[[Report | None], None],
+        suspects: Callable[[], list[BackendName]],
     ) -> None:
         self._board = board
         self._member = member
         self._incarnation = incarnation
         self._clock = clock
         self._on_report = on_report
+        self._suspects = suspects
         self._number = 0
         self._dirty = asyncio.Event()
         self._transport: asyncio.DatagramTransport | None = None
@@ -64,7 +68,7 @@
             logs.warning(Event.REPORT_UNREADABLE, peer=str(address), error=str(error))
             return
         if report.member != self._member and self._board.take(report, self._clock()):
-            self._on_report()
+            self._on_report(report)
 
     def error_received(self, error: Exception) -> None:
         """Notes that a peer's port is closed; the heartbeats tell when it is gone."""
@@ -89,7 +93,7 @@
                 self._send()
                 for member in self._board.expire(self._clock()):
                     logs.info(Event.REPORTS_MISSING, member=member)
-                    self._on_report()
+                    self._on_report(None)
                 await asyncio.sleep(MIN_INTERVAL_SECONDS)
         finally:
             self._transport.close()
@@ -97,7 +101,9 @@
     def _send(self) -> None:
         assert self._transport is not None
         self._number += 1
-        report = Report(self._member, self._incarnation, self._number, self._board.own)
+        report = Report(
+            self._member, self._incarnation, self._number, self._board.own, self._suspects()
+        )
         data = _encoder.encode(report)
         for peer in self.peers:
             place = parse_address(peer)
--- a/verbenashore/jobdesk.py
+++ b/verbenashore/jobdesk.py
@@ -7,7 +7,7 @@
 
 from verbenashore import control, itemjobs, misc, routing
 from verbenashore.backendcall import Dialect
-from verbenashore.board import LoadBoard
+from verbenashore.board import LoadBoard, Report
 from verbenashore.directory import Directory
 from verbenashore.dispatch import Dispatcher
 from verbenashore.exceptions import NotFoundError
@@ -16,6 +16,7 @@
 from verbenashore.jobrunner import JobRunner
 from verbenashore.listing import READ_SECONDS, Fetch, ListKeeper
 from verbenashore.messages import HeartbeatReply, ItemBody, ReadItemBody, ReadResults
+from verbenashore.prober import Prober
 from verbenashore.process import Process
 from verbenashore.replica import ReplicaRunner
 from verbenashore.routing import RouteIndex, RouteTable
@@ -54,11 +55,15 @@
         # Versions of different leaders must not be taken for each other.
         self._directory.version = misc.quick_hash(running.incarnation) >> 16
         dispatcher = Dispatcher(self._directory, self._board, settings.data_centre)
+        self._prober = Prober(
+            given.dialect, dispatcher, running.clock, lambda: self._routes, self._on_load
+        )
         self._jobs = JobRunner(
             given.dialect,
             self._directory,
             self._board,
             dispatcher,
+            self._prober,
             running.clock,
             lambda: runner.serving,
             lambda: runner.state.item_jobs,
@@ -67,7 +72,12 @@
             self._on_load,
         )
         self._gossip = Gossip(
-            self._board, running.name, running.incarnation, running.clock, self._jobs.wake
+            self._board,
+            running.name,
+            running.incarnation,
+            running.clock,
+            self._on_report,
+            lambda: dispatcher.suspects,
         )
         self._list = ListKeeper(
             self._directory,
@@ -82,6 +92,7 @@
         """Starts the tasks."""
         running.start(self._gossip.run(self._given.reports))
         running.start(self._jobs.run())
+        running.start(self._prober.run())
         running.start(self._read_while_leading())
 
     def extend(self, reply: HeartbeatReply, known: int, peers: set[str]) -> HeartbeatReply:
@@ -140,6 +151,11 @@
                 await self._list.read()
             await asyncio.sleep(READ_SECONDS)
 
+    def _on_report(self, report: Report | None) -> None:
+        if report is not None:
+            self._prober.take(report)
+        self._jobs.wake()
+
     def _on_load(self) -> None:
         self._gossip.mark_changed()
 
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -17,9 +17,10 @@
 from verbenashore.directory import BackendEntry, Directory
 from verbenashore.dispatch import Dispatcher
 from verbenashore.events import NO_NUMBER, EventSplitter
-from verbenashore.exceptions import BackendBusyError, BackendError, VerbenaError
+from verbenashore.exceptions import BackendError, VerbenaError
 from verbenashore.itemjobs import Attempt, ItemJob, ItemJobBook, Outcome
 from verbenashore.logs import Event
+from verbenashore.prober import Prober
 from verbenashore.routing import RouteIndex
 from verbenashore.types import BackendName, Clock, JobId, ServiceName
 
@@ -75,6 +76,7 @@
         directory: Directory,
         board: LoadBoard,
         dispatcher: Dispatcher,
+        prober: Prober,
         clock: Clock,
         serving: Callable[[], bool],
         book: Callable[[], ItemJobBook],
@@ -86,6 +88,7 @@
         self._directory = directory
         self._board = board
         self._dispatcher = dispatcher
+        self._prober = prober
         self._clock = clock
         self._serving = serving
         self._book = book
@@ -246,10 +249,7 @@
     def _retry(self, run: Run, progress: Progress, error: BackendError) -> None:
         now = self._clock()
         progress.not_before = now + RETRY_SECONDS
-        if isinstance(error, BackendBusyError):
-            self._dispatcher.note_full(run.server.name, now)
-        else:
-            self._dispatcher.note_failure(run.server.name, now)
+        self._prober.note_error(run.server.name, error)
         logs.warning(Event.ITEM_RETRIED, **_names(run), step=error.step, error=error.message)
         if self._run_by_key.get(run.key) is run:
             del self._run_by_key[run.key]
--- a/verbenashore/link.py
+++ b/verbenashore/link.py
@@ -28,6 +28,9 @@
 PING_SECONDS = 0.25
 SILENT_SECONDS = 1.5
 SEND_QUEUE_MESSAGES = 20_000
+#: Shortest and longest pause before a connection is tried again.
+RECONNECT_MS = 50
+RECONNECT_MAX_MS = 100
 
 _decoder = msgspec.msgpack.Decoder(Envelope)
 _encoder = msgspec.msgpack.Encoder()
@@ -158,8 +161,8 @@
         socket = self._context.socket(zmq.DEALER)
         socket.set(zmq.LINGER, 0)
         socket.set(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
-        socket.set(zmq.RECONNECT_IVL, 50)
-        socket.set(zmq.RECONNECT_IVL_MAX, 500)
+        socket.set(zmq.RECONNECT_IVL, RECONNECT_MS)
+        socket.set(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
         socket.connect(f"tcp://{self.address}")
         return socket
 
--- a/verbenashore/view.py
+++ b/verbenashore/view.py
@@ -15,6 +15,8 @@
 
 HEARTBEAT_SECONDS = 0.5
 HEARTBEAT_DEADLINE = 2.0
+#: Seconds for each replica; a reply needs no disk.
+HEARTBEAT_ATTEMPT = 0.25
 
 
 class SystemView:
@@ -85,7 +87,7 @@
         """Sends one heartbeat and takes in its answer."""
         sent_at = self._process.clock()
         heartbeat = Heartbeat(self._member(), self._members_version, self.backends_version)
-        reply = await self._control.ask(heartbeat, HEARTBEAT_DEADLINE)
+        reply = await self._control.ask(heartbeat, HEARTBEAT_DEADLINE, attempt=HEARTBEAT_ATTEMPT)
         if not isinstance(reply, HeartbeatReply):
             raise VerbenaError("unexpected answer", step="heartbeat")
         self.confirmed_at = sent_at
