Give a new replica time to answer; let a stream that goes on elsewhere go first

Cause 2: a stream that had lost its server was refused while all others were full, because its objective for the first event had passed; its answer was cut (LOST beside a configuration change).

Change: the silence of a member counts from its admission; a resumed stream waits first in the queue until its caller's time is over.

--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -3,7 +3,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from tests.group import Group, run_machine
+from tests.group import TIMING, Group, run_machine
 from verbenashore import consensus, replication
 from verbenashore.consensus import Role
 from verbenashore.replication import Base, HardState, Packet, VoteReply, VoteRequest
@@ -228,3 +228,22 @@
     replies = [packet.message.granted for packet in consensus.take_output(replica).packets]
     assert replies == [True, False]
     assert replica.role is Role.FOLLOWER
+
+
+def test_a_replica_that_joins_a_long_settled_leader_is_given_time_to_answer():
+    group = Group()
+    group.run(3 * TIMING.replace_after)
+    leader = group.servers()[0]
+    lost = next(name for name in sorted(group.replicas) if name != leader)
+    group.crash(lost)
+    group.start_new(lost)
+    while not consensus.membership(group.replicas[leader]).learners:
+        group.step()
+    # Its link takes a moment longer than the commit of its admission.
+    group.cut.add(lost)
+    group.run(0.3)
+    assert group.peer(lost) in consensus.membership(group.replicas[leader]).learners
+    group.cut.clear()
+    group.run(1.0)
+    assert group.peer(lost) in consensus.membership(group.replicas[leader]).voters
+    assert len(consensus.membership(group.replicas[leader]).voters) == 3
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -104,6 +104,23 @@
     assert [found.id for found, _ in chosen.poll(1.1)] == ["late"]
 
 
+def test_a_stream_that_goes_on_elsewhere_is_not_refused_and_goes_first():
+    """On days with releases, streams lost their engine while all others were full."""
+    chosen = dispatcher(servers(2, slots=1))
+    held = [chosen.request(ticket(str(n), 0.0), 0.0).server for n in range(2)]
+    for server in held:
+        chosen.release(server, 0.1)
+    chosen.request(ticket("a", 0.0), 0.0)
+    chosen.request(ticket("b", 0.0), 0.0)
+    chosen.request(ticket("waits", 0.9), 0.9)
+    resumed = ticket(
+        "resumed", 0.0, rank=-1, start_by=PATIENCE, patient=True, excluded={held[0].name}
+    )
+    assert chosen.request(resumed, 1.0).verdict is Verdict.WAITING
+    chosen.release(held[1], 0.1)
+    assert [found.id for found, _ in chosen.poll(1.0)] == ["resumed"]
+
+
 def test_a_caller_who_left_frees_the_queue():
     chosen = dispatcher(servers(1, slots=1))
     server = chosen.request(ticket("a", 0.0), 0.0).server
--- a/verbenashore/consensus.py
+++ b/verbenashore/consensus.py
@@ -207,6 +207,11 @@
     """Starts one change of membership; false if that isn't allowed now."""
     if not may_serve(replica, now) or change_is_pending(replica):
         return False
+    before = _others(membership(replica), replica.id)
+    for peer in _others(new, replica.id):
+        # Only from now on does the silence of a new member mean anything.
+        if peer not in before:
+            progress_of(replica, peer.id).heard = now
     _append(replica, EntryKind.MEMBERSHIP, msgspec.msgpack.encode(new))
     _broadcast(replica, now)
     return True
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -54,6 +54,8 @@
 WAIT_SHARE = 0.75
 #: Part of a caller's patience after which a call is not begun any more.
 LATE_SHARE = 0.8
+#: The rank of a stream that goes on at another server; it goes before all others.
+RESUMED_RANK = -1
 #: A caller who waits for less than this part of what others wait has been here before.
 RETURNED_SHARE = 0.97
 #: Longest silence in seconds on a stream that declares no pause.
@@ -300,6 +302,10 @@
     def _note_failure(self, relay: Relay, server: BackendEntry, error: BackendError) -> None:
         now = self._clock()
         relay.ticket.excluded.add(server.name)
+        if relay.respond.started:
+            # Its caller is in the middle of an answer and notices each moment of waiting.
+            relay.ticket.rank = RESUMED_RANK
+            relay.ticket.start_by = relay.end_at
         relay.ticket.patient = relay.ticket.patient or relay.runs > 0
         self._prober.note_error(server.name, error)
         if error.not_run:
