Log to standard output without waiting; metrics as text; the story of a call from the logs

Cause: on-call engineers have only logs and metrics. Lines went to standard error through a blocking stream, new decisions had no catalogue entry, and nothing put one call's lines together.

Change: a bounded line writer that drops whole lines, warnings last, and counts them; the catalogue is tested against the code; /metrics as text on port 9464; verbena explain ID FILE.... A server of the own data centre goes first up to 0.7 of its slots; load reports at most every 20 ms.

Found on the way: a second deployment on the same IP numbers could not bind the metrics port; the test deployments have IP numbers of their own now.

--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import http.client
+import itertools
 import json
 import os
 import shutil
@@ -134,19 +135,24 @@
     return "\n".join(f"{call} says {number}" for number in range(1, events + 1))
 
 
+_nets = itertools.count(1)
+
+
 class Platform:
     """Three ledgers, two entries, and the stand-ins, each instance with its own loopback IP."""
 
     def __init__(self, folder, ledgers=3):
         self.folder = Path(folder)
+        # The port of the metrics is fixed, so each deployment has IP numbers of its own.
+        net = self.net = next(_nets)
         self.port = free_port()
         self.engines = [
-            Engine(f"i-{n}", "lm", f"127.3.0.{n + 1}:{self.port}", "dc") for n in range(3)
+            Engine(f"i-{n}", "lm", f"127.3.{net}.{n + 1}:{self.port}", "dc") for n in range(3)
         ]
-        self.engines.append(Engine("i-9", "forms", f"127.3.0.9:{self.port}", "dc"))
+        self.engines.append(Engine("i-9", "forms", f"127.3.{net}.9:{self.port}", "dc"))
         self.unreadable = [{"id": 3}, "nothing", {"id": "x", "state": "odd"}]
-        self.ip_by_name = {f"ledger-{n}": f"127.1.0.{n + 1}" for n in range(ledgers)}
-        self.ip_by_name |= {f"entry-{n}": f"127.2.0.{n + 1}" for n in range(2)}
+        self.ip_by_name = {f"ledger-{n}": f"127.1.{net}.{n + 1}" for n in range(ledgers)}
+        self.ip_by_name |= {f"entry-{n}": f"127.2.{net}.{n + 1}" for n in range(2)}
         self.seeds = [self.ip_by_name[f"ledger-{n}"] for n in range(ledgers)]
         self.process_by_name = {}
         self.first_start = True
@@ -157,7 +163,7 @@
         self._thread.start()
         for engine in self.engines:
             self.serve(engine)
-        self._serve(f"127.4.0.1:{self.port}", self._list, asyncio.Event())
+        self._serve(f"127.4.{self.net}.1:{self.port}", self._list, asyncio.Event())
         for name in self.ip_by_name:
             self.start(name)
         self.first_start = False
@@ -212,7 +218,7 @@
             "grace_s = 8",
             "status_s = 120",
             "[cloud]",
-            f'address = "127.4.0.1:{self.port}"',
+            f'address = "127.4.{self.net}.1:{self.port}"',
         ]
         settings = self.folder / f"{name}.toml"
         settings.write_text("\n".join(lines))
--- a/verbenashore/cmdline.py
+++ b/verbenashore/cmdline.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from verbenashore import completions, misc, replay
+from verbenashore import completions, explain, misc, replay
 from verbenashore.exceptions import VerbenaError
 from verbenashore.remote import Client
 from verbenashore.settings import EXIT_BAD_SETTINGS
@@ -88,9 +88,19 @@
     replayed = _command(commands, "replay", "replay a recorded trace", _replay, entry=False)
     replayed.add_argument("trace", type=Path, help="a file written with --trace")
     replayed.add_argument("--expect", type=Path, help="JSON file of the stated outcomes")
+    explained = _command(
+        commands, "explain", "tell a call's story from logs", _explain, str, entry=False
+    )
+    explained.add_argument("id", help="id of a call, item or job")
+    explained.add_argument("logs", type=Path, nargs="+", help="log files of any processes")
     return parser
 
 
+def _explain(given: argparse.Namespace) -> Any:
+    lines = explain.story(explain.read(given.logs), given.id)
+    return [msgspec.to_builtins(line) for line in lines] if given.json else explain.render(lines)
+
+
 def _command(
     commands: Any,
     name: str,
--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -30,6 +30,8 @@
 PROBE_PATIENCE_SECONDS = 4.0
 #: Seconds for which a server that said that it is full gets nothing more.
 FULL_SECONDS = 0.05
+#: Share of its slots up to which a server of the own data centre goes before all others.
+NEAR_LIMIT = 0.7
 #: Weight of the newest call in the mean time that a service's calls take.
 HOLD_WEIGHT = 0.05
 #: Assumed time of a call in seconds before any was seen.
@@ -262,14 +264,15 @@
         hold = self._hold_by_service.get(service, FIRST_HOLD_SECONDS)
         return ahead * hold / max(1, slots)
 
-    def _cost(self, server: BackendEntry) -> tuple[bool, float, bool, float]:
+    def _cost(self, server: BackendEntry) -> tuple[bool, bool, bool, float, float]:
         load = self._board.total(server.name)
         busy = (load.online + load.batch) / max(1, server.slots)
         online = load.online / max(1, server.slots)
         return (
             busy >= 1,
-            online if busy >= 1 else busy,
+            busy >= NEAR_LIMIT,
             server.data_centre != self._data_centre,
+            online if busy >= 1 else busy,
             self._random.random(),
         )
 
--- a/verbenashore/gossip.py
+++ b/verbenashore/gossip.py
@@ -17,7 +17,7 @@
 from verbenashore.types import Clock, MemberName
 
 #: Shortest time between two reports, in seconds; changes within it share one.
-MIN_INTERVAL_SECONDS = 0.01
+MIN_INTERVAL_SECONDS = 0.02
 #: Longest time between two reports, in seconds; a third of ``board.REPORT_SECONDS``.
 MAX_INTERVAL_SECONDS = 0.5
 
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -51,10 +51,12 @@
 class Run(msgspec.Struct):
     """One item at one server.
 
+    :param item: the item's own id.
     :param placed: true while it counts on the load board.
     """
 
     key: ItemKey
+    item: str
     server: BackendEntry
     due_at: float
     placed: bool = True
@@ -211,7 +213,7 @@
         return best
 
     def _start(self, job: ItemJob, key: ItemKey, server: BackendEntry, progress: Progress) -> None:
-        run = Run(key, server, job.due_at)
+        run = Run(key, job.items[key[1]].spec.id, server, job.due_at)
         self._run_by_key[key] = run
         self._board.add(server.name, batch=1)
         self._on_load()
@@ -313,4 +315,4 @@
 
 
 def _names(run: Run) -> dict[str, Any]:
-    return {"job": run.key[0], "item": run.key[1], "server": run.server.name}
+    return {"job": run.key[0], "item": run.item, "server": run.server.name}
--- a/verbenashore/ledger.py
+++ b/verbenashore/ledger.py
@@ -536,6 +536,9 @@
     values: argparse.Namespace = settings.read_or_exit(
         PROGRAM, "Runs one replica of one or more groups.", SETTINGS, arguments
     )
+    if not (values.initial or values.seeds):
+        print(f"{PROGRAM}: --initial or --seeds is required", file=sys.stderr)
+        return settings.EXIT_BAD_SETTINGS
     return process.run(values, _program)
 
 
--- a/verbenashore/logs.py
+++ b/verbenashore/logs.py
@@ -2,12 +2,18 @@
 
 import json
 import logging as standard_logging
+import os
+import stat
 import sys
 import time
+from collections import Counter, deque
 from enum import Enum
 
 from absl import flags, logging
 
+#: Bytes of ordinary lines that may wait for the reader of standard output.
+MAX_WAITING_BYTES = 1 << 20
+
 
 class Event(Enum):
     """Every event that is logged; ``docs/events.rst`` explains each."""
@@ -97,22 +103,102 @@
             **fields,
         }
         if self.as_json:
-            return json.dumps(document, default=str)
+            return json.dumps(document, default=_as_text)
         stamp = time.strftime("%H:%M:%S", time.gmtime(record.created))
         details = " ".join(f"{key}={value}" for key, value in fields.items())
         number = f"{document['event']:03d}"
         return f"{stamp} {self.process} {number} {document['name']} {details}"
 
 
-def set_up(process: str, form: str) -> None:
-    """Sends events to standard error in the wanted form."""
+def _as_text(value: object) -> str:
+    return str(value.value) if isinstance(value, Enum) else str(value)
+
+
+class LineWriter:
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    What doesn't fit waits in memory up to a bound; past it whole lines are dropped, ordinary ones
+    first.  How many were dropped is logged once there is room again.
+
+    :param most: bytes that may wait; warnings may use twice as many.
+    """
+
+    def __init__(self, descriptor: int, most: int = MAX_WAITING_BYTES) -> None:
+        self._descriptor = descriptor
+        self._most = most
+        self._waiting: deque[bytes] = deque()
+        self._size = 0
+        self.dropped: Counter[str] = Counter()
+        kind = os.fstat(descriptor).st_mode
+        if stat.S_ISFIFO(kind) or stat.S_ISSOCK(kind):
+            os.set_blocking(descriptor, False)
+
+    def write(self, line: bytes, level: int) -> bool:
+        """Takes one line; false if it was dropped."""
+        warning = level >= standard_logging.WARNING
+        if self._size + len(line) > self._most * (2 if warning else 1):
+            self.dropped["warning" if warning else "info"] += 1
+            self.flush()
+            return False
+        self._waiting.append(line)
+        self._size += len(line)
+        self.flush()
+        return True
+
+    @property
+    def waiting(self) -> int:
+        """The bytes that wait."""
+        return self._size
+
+    def flush(self) -> None:
+        """Writes as much as the descriptor takes now."""
+        while self._waiting:
+            line = self._waiting[0]
+            try:
+                written = os.write(self._descriptor, line)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more, and there is no other place to say so.
+                self.dropped["unreadable"] += len(self._waiting)
+                self._waiting.clear()
+                self._size = 0
+                return
+            self._size -= written
+            if written < len(line):
+                self._waiting[0] = line[written:]
+                return
+            self._waiting.popleft()
+
+
+class EventHandler(standard_logging.Handler):
+    """Hands formatted events to a line writer."""
+
+    def __init__(self, writer: LineWriter) -> None:
+        super().__init__()
+        self.writer = writer
+
+    def emit(self, record: standard_logging.LogRecord) -> None:
+        """Writes one event, and before it the count of those that were dropped."""
+        if self.writer.dropped and not self.writer.waiting:
+            counts = dict(self.writer.dropped)
+            self.writer.dropped.clear()
+            warning(Event.LINES_DROPPED, **counts)
+        self.writer.write(self.format(record).encode() + b"\n", record.levelno)
+
+
+def set_up(process: str, form: str) -> LineWriter:
+    """Sends events to standard output in the wanted form."""
     # The settings are read by argparse; absl must not wait for its own flags.
     flags.FLAGS.mark_as_parsed()
-    logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
-    handler = logging.get_absl_handler()
-    handler.python_handler.stream = sys.stderr
+    writer = LineWriter(sys.stdout.fileno())
+    handler = EventHandler(writer)
     handler.setFormatter(EventFormatter(process, form == "json"))
+    logger = logging.get_absl_logger()
+    logger.handlers[:] = [handler]
+    logger.propagate = False
+    return writer
 
 
 def info(event: Event, **fields: object) -> None:
--- a/verbenashore/metrics.py
+++ b/verbenashore/metrics.py
@@ -12,6 +12,9 @@
 HIGHEST_US = 600_000_000
 DIGITS = 2
 PERCENTILES = (50, 95, 99, 99.9)
+#: Names that a process keeps; a configuration may add hundreds of routes in a day.
+MAX_NAMES = 300
+OTHER = "other"
 
 
 class Metrics:
@@ -28,12 +31,16 @@
 
     def count(self, name: str, by: int = 1) -> None:
         """Adds to a counter."""
+        if name not in self._counts and len(self._counts) >= MAX_NAMES:
+            name = OTHER
         self._counts[name] += by
         if self._client is not None:
             self._client.incr(name, by)
 
     def time(self, name: str, seconds: float) -> None:
         """Adds a duration to a histogram."""
+        if name not in self._histogram_by_name and len(self._histogram_by_name) >= MAX_NAMES:
+            name = OTHER
         histogram = self._histogram_by_name.get(name)
         if histogram is None:
             histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
@@ -57,3 +64,25 @@
                 for name, histogram in self._histogram_by_name.items()
             },
         }
+
+    def as_text(self) -> str:
+        """Returns all counters and percentiles, one sample a line."""
+        lines = ["# TYPE verbena_events_total counter"]
+        lines += [
+            f'verbena_events_total{{name="{_label(name)}"}} {count}'
+            for name, count in sorted(self._counts.items())
+        ]
+        lines.append("# TYPE verbena_seconds summary")
+        for name, histogram in sorted(self._histogram_by_name.items()):
+            label = _label(name)
+            lines += [
+                f'verbena_seconds{{name="{label}",quantile="{share / 100:g}"}} '
+                f"{histogram.get_value_at_percentile(share) / 1e6:g}"
+                for share in PERCENTILES
+            ]
+            lines.append(f'verbena_seconds_count{{name="{label}"}} {histogram.get_total_count()}')
+        return "\n".join(lines) + "\n"
+
+
+def _label(name: str) -> str:
+    return name.replace("\\", "\\\\").replace('"', '\\"').replace("\n", " ")
--- a/verbenashore/process.py
+++ b/verbenashore/process.py
@@ -13,13 +13,16 @@
 
 from verbenashore import httpserver, logs, metrics, misc
 from verbenashore.client import Links
-from verbenashore.exceptions import StorageError, VerbenaError
+from verbenashore.exceptions import NotFoundError, StorageError, VerbenaError
 from verbenashore.httpserver import Request, Responder
-from verbenashore.logs import Event
+from verbenashore.logs import Event, LineWriter
 from verbenashore.messages import Sender
 from verbenashore.types import Clock, MemberName, Revision
+from verbenashore.version import __version__
 
 EXIT_FAILED = 1
+#: Seconds between two tries to write lines that wait.
+FLUSH_SECONDS = 0.25
 
 
 class Process:
@@ -88,6 +91,17 @@
     await httpserver.serve(address, handle, asyncio.Event())
 
 
+async def serve_metrics(process: Process, address: str) -> None:
+    """Serves the metrics as text, in the format that Prometheus reads, under ``/metrics``."""
+
+    async def handle(request: Request, respond: Responder) -> None:
+        if request.path != "/metrics":
+            raise NotFoundError(f"there is no {request.path}", step="route", field="path")
+        await respond.whole(200, "text/plain; version=0.0.4", process.metrics.as_text().encode())
+
+    await httpserver.serve(address, handle, asyncio.Event())
+
+
 async def answer_health(process: Process, request: Request, respond: Responder) -> bool:
     """Answers a health page; false if the path is none."""
     if request.path == "/livez":
@@ -103,9 +117,9 @@
 
 def run(settings: argparse.Namespace, program: Callable[[Process], Awaitable[None]]) -> int:
     """Runs a program until it is told to stop; returns its exit code."""
-    logs.set_up(settings.name, settings.log_format)
+    writer = logs.set_up(settings.name, settings.log_format)
     try:
-        asyncio.run(_run(settings, program))
+        asyncio.run(_run(settings, program, writer))
     except VerbenaError as error:
         details = {"code": error.code, "step": error.step, "peer": error.peer}
         failed_disk = isinstance(error, StorageError)
@@ -116,14 +130,26 @@
     return 0
 
 
-async def _run(settings: argparse.Namespace, program: Callable[[Process], Awaitable[None]]) -> None:
+async def _flush_logs(writer: LineWriter) -> None:
+    """Writes the lines that standard output did not take when they were logged."""
+    while True:
+        await asyncio.sleep(FLUSH_SECONDS)
+        writer.flush()
+
+
+async def _run(
+    settings: argparse.Namespace,
+    program: Callable[[Process], Awaitable[None]],
+    writer: LineWriter,
+) -> None:
     # Long-lived state makes full collections slow, and they would delay heartbeats.
     gc.freeze()
     process = Process(settings)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, process.stopping.set)
-    logs.info(Event.STARTED, incarnation=process.incarnation)
+    process.start(_flush_logs(writer))
+    logs.info(Event.STARTED, incarnation=process.incarnation, version=__version__)
     try:
         await program(process)
         logs.info(Event.STOPPED)
