--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-SOURCES := verbenashore standins lab tests spec
+SOURCES := verbenashore platform standins lab tests spec
 SPIN := command -v spin >/dev/null || (apt-get update -qq && apt-get install -y -qq spin)
 
 .PHONY: demo test format lint unit spec spec-small spec-mutants mutants soak measure capacity known-red clean
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -108,3 +108,11 @@
     monkeypatch.setattr(storage.os, "write", refuse)
     with pytest.raises(StorageError, match="No space"):
         storage.write(folder, None, [entry(1, 1)])
+
+
+def test_a_new_folder_lasts_in_its_parent_before_anything_is_promised(tmp_path, monkeypatch):
+    synced = []
+    sync = storage._sync_directory
+    monkeypatch.setattr(storage, "_sync_directory", lambda path: (synced.append(path), sync(path)))
+    reopen(tmp_path / "data" / "group-0")
+    assert {tmp_path, tmp_path / "data", tmp_path / "data" / "group-0"} <= set(synced)
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -69,6 +69,8 @@
 #: Seconds for a job's commit, and for a read of its results beyond the asked wait.
 JOB_SECONDS = 1.5
 SUCCESS = 200
+#: Ends of a call that are dropped first when log lines have to be.
+ORDINARY_ENDS = frozenset({Event.CALL_ENDED, Event.CALL_CANCELLED})
 #: Statuses by which a caller would take a call for not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -172,17 +174,22 @@
         ended.set()
         await serving
 
-    def find_route(self, host: str, path: str) -> Route:
+    def find_route(self, host: str, path: str, call: str) -> Route:
         """Returns the route of a call.
 
+        :param call: its id, for the logs.
         :raises OverloadedError: if no configuration is known yet.
         :raises NotFoundError: if no route has the path.
         """
-        if not self.routes.table.version:
+        table = self.routes.table
+        if not table.version:
             later = START_SECONDS + START_SPREAD_SECONDS * self._random.random()
-            raise OverloadedError("no configuration is known", step="place", retry_after=later)
+            reason = "no configuration is known"
+            logs.warning(Event.CALL_REFUSED, call=call, outcome=reason, retry_after=round(later, 3))
+            raise OverloadedError(reason, step="place", retry_after=later)
         route = self.routes.find(host, path)
         if route is None:
+            logs.info(Event.CALL_REFUSED, call=call, outcome="no route", version=table.version)
             raise NotFoundError(f"no route for {host}{path}", step="route", not_run=True)
         return route
 
@@ -516,7 +523,8 @@
         seconds = self._clock() - relay.arrived_at
         self._process.metrics.count(f"{relay.route.name}.{event.name.lower()}")
         self._process.metrics.time(f"{relay.route.name}.seconds", seconds)
-        logs.info(
+        write = logs.info if event in ORDINARY_ENDS else logs.warning
+        write(
             event,
             call=relay.call.id,
             route=relay.route.name,
--- a/verbenashore/storage.py
+++ b/verbenashore/storage.py
@@ -75,7 +75,7 @@
     :raises StorageError: if data in the middle is damaged, or the disk fails.
     """
     try:
-        path.mkdir(parents=True, exist_ok=True)
+        _make_folders(path)
         folder = _identify(path)
         snapshot = _read_snapshot(path)
         loaded = Loaded(HardState(), snapshot, [], 0)
@@ -165,6 +165,15 @@
     os.close(folder.descriptor)
 
 
+def _make_folders(path: Path) -> None:
+    """Makes a folder and its parents, each of which lasts in the one above it."""
+    if path.is_dir():
+        return
+    _make_folders(path.parent)
+    path.mkdir(exist_ok=True)
+    _sync_directory(path.parent)
+
+
 def _identify(path: Path) -> Folder:
     """Reads the replica id, or makes one with the folder."""
     identity = path / "identity"
