--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -1,6 +1,7 @@
 """Relays online calls to backend servers, and takes item jobs; one per entry instance."""
 
 import asyncio
+import contextlib
 import random
 from typing import Any
 
@@ -31,6 +32,7 @@
 from verbenashore.messages import HeartbeatReply, ItemBody, ReadItemBody, ReadResults
 from verbenashore.prober import Prober
 from verbenashore.process import Process
+from verbenashore.returning import ReturningCallers
 from verbenashore.routing import Route, RouteIndex, RouteKind, RouteTable
 from verbenashore.types import (
     CONTROL_GROUP,
@@ -56,8 +58,6 @@
 LATE_SHARE = 0.8
 #: The rank of a stream that goes on at another server; it goes before all others.
 RESUMED_RANK = -1
-#: A caller who waits for less than this part of what others wait has been here before.
-RETURNED_SHARE = 0.97
 #: Longest silence in seconds on a stream that declares no pause.
 DEFAULT_PAUSE_SECONDS = 1.0
 #: Seconds after which an entry that has just started will know its configuration, as callers
@@ -150,7 +150,8 @@
             self._on_report,
             self._dispatcher,
         )
-        self._patience_by_route: dict[str, float] = {}
+        self._returned = ReturningCallers()
+        self._configured = asyncio.Event()
         self._future_by_ticket: dict[Ticket, asyncio.Future[Decision]] = {}
         self._random = random.Random(misc.quick_hash(running.incarnation))
 
@@ -174,13 +175,20 @@
         ended.set()
         await serving
 
-    def find_route(self, host: str, path: str, call: str) -> Route:
-        """Returns the route of a call.
+    async def find_route(self, host: str, path: str, call: str, patience: float | None) -> Route:
+        """Returns the route of a call; a caller who has come back waits for a configuration.
 
         :param call: its id, for the logs.
+        :param patience: seconds that the caller waits, if it said.
         :raises OverloadedError: if no configuration is known yet.
         :raises NotFoundError: if no route has the path.
         """
+        returned = self._returned.note(host, path, patience)
+        if not self.routes.table.version and returned and patience is not None:
+            logs.info(Event.CALL_QUEUED, call=call, outcome="no configuration is known")
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(patience * LATE_SHARE):
+                    await self._configured.wait()
         table = self.routes.table
         if not table.version:
             later = START_SECONDS + START_SPREAD_SECONDS * self._random.random()
@@ -204,15 +212,13 @@
         now = self._clock()
         wanted = call.patience if call.patience is not None else route.timeout
         patience = min(route.timeout, wanted)
-        longest = max(self._patience_by_route.get(route.name, 0.0), wanted)
-        self._patience_by_route[route.name] = longest
         ticket = Ticket(
             call.id,
             routing.choose_service(route, call.id),
             route.priority,
             now + min(patience, route.objective * WAIT_SHARE),
             now + patience * LATE_SHARE,
-            patient=wanted < longest * RETURNED_SHARE,
+            patient=self._returned.has_returned(call.host, call.path, call.patience),
         )
         relay = Relay(call, route, now, now + patience, ticket, respond)
         relay.last_event = call.last_event
@@ -502,6 +508,7 @@
         table = self._view.deployment
         if table.version > self.routes.table.version:
             self.routes = RouteIndex(table)
+            self._configured.set()
             self.tuning.limits = table.limits
         self._set_ready()
 
