--- a/verbenashore/board.py
+++ b/verbenashore/board.py
@@ -4,8 +4,9 @@
 
 from verbenashore.types import BackendName, MemberName, ServiceName
 
-#: Seconds after which a silent member's calls no longer count.
-REPORT_SECONDS = 1.5
+#: Seconds after which a silent member's calls no longer count.  A member that was killed reports
+#: anew sooner; the calls of one that is frozen or cut off go on at their servers for seconds.
+REPORT_SECONDS = 4.0
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
--- a/verbenashore/gossip.py
+++ b/verbenashore/gossip.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from verbenashore import logs
+from verbenashore import logs, misc
 from verbenashore.board import LoadBoard, Report
 from verbenashore.dispatch import Dispatcher
 from verbenashore.logs import Event
@@ -18,7 +18,7 @@
 
 #: Shortest time between two reports, in seconds; changes within it share one.
 MIN_INTERVAL_SECONDS = 0.02
-#: Longest time between two reports, in seconds; a third of ``board.REPORT_SECONDS``.
+#: Longest time between two reports, in seconds; some of them may be lost in a row.
 MAX_INTERVAL_SECONDS = 0.5
 
 _encoder = msgspec.msgpack.Encoder()
@@ -44,7 +44,8 @@
     ) -> None:
         self._board = board
         self._member = member
-        self._incarnation = incarnation
+        # Eight digits tell two starts apart; the report is sent often and to many.
+        self._incarnation = f"{misc.quick_hash(incarnation):016x}"[:8]
         self._clock = clock
         self._on_report = on_report
         self._dispatcher = dispatcher
@@ -97,6 +98,8 @@
                     self._on_report(None)
                 await asyncio.sleep(MIN_INTERVAL_SECONDS)
         finally:
+            self._board.own.clear()
+            self._send()
             self._transport.close()
 
     def _send(self) -> None:
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -28,8 +28,11 @@
 STALL_SECONDS = 1.0
 #: Seconds before an item that failed is tried again.
 RETRY_SECONDS = 0.15
-#: Slots of each server that items leave free for the next online call; a yield takes some 20 ms.
-RESERVED_SLOTS = 0
+#: Slots of each server that items leave free for the next online call.
+RESERVED_SLOTS = 1
+#: Seconds for which a server gets no new item after one had to yield there: each start reads the
+#: prompt again, which slows the online calls that the item yielded to.
+YIELD_PAUSE_SECONDS = 0.4
 #: Assumed seconds of an item's whole run before any has ended, and the newest one's weight.
 FIRST_RUN_SECONDS = 5.0
 RUN_WEIGHT = 0.1
@@ -121,6 +124,7 @@
         self._run_seconds = FIRST_RUN_SECONDS
         self._run_by_key: dict[ItemKey, Run] = {}
         self._progress_by_key: dict[ItemKey, Progress] = {}
+        self._yielded_at: dict[BackendName, float] = {}
         self._given_up: set[ItemKey] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._wake = asyncio.Event()
@@ -155,7 +159,9 @@
         self._start_waiting()
 
     def _stop_ended(self) -> None:
-        """Stops the runs whose job was ended or whose server is leaving for good."""
+        """Stops the runs whose job was ended, and forgets servers that are gone."""
+        for name in self._yielded_at.keys() - self._directory.by_name.keys():
+            del self._yielded_at[name]
         jobs = self._book().job_by_id
         for run in list(self._run_by_key.values()):
             job = jobs.get(run.key[0])
@@ -182,6 +188,7 @@
                     events=len(self._progress_by_key[run.key].texts),
                 )
                 self._stop(run, "yielded")
+                self._yielded_at[name] = self._clock()
 
     def _stop(self, run: Run, reason: str) -> None:
         self._run_by_key.pop(run.key, None)
@@ -227,6 +234,8 @@
         for server in self._directory.of_service(service):
             total = self._board.total(server.name)
             free = server.slots - RESERVED_SLOTS - total.online - total.batch
+            if now < self._yielded_at.get(server.name, float("-inf")) + YIELD_PAUSE_SECONDS:
+                continue
             if free > most and self._dispatcher.may_use(server.name, now):
                 best, most = server, free
         return best
