Give a place back when its caller leaves at the moment of the grant; keep the product's election times

Cause 1, found by reading: a caller who left between the grant of a place and the next turn of its task left that place taken for as long as the process ran.

--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -1,4 +1,4 @@
-"""The load board: whole reports replace each other, and a silent member's calls count for a while."""
+"""The load board: whole reports replace each other; a silent member counts for a while."""
 
 from verbenashore.board import REPORT_SECONDS, Load, LoadBoard, Report
 
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -12,7 +12,7 @@
 from verbenashore.board import LoadBoard, Report
 from verbenashore.client import GroupClient
 from verbenashore.directory import BackendEntry, Directory
-from verbenashore.dispatch import Decision, Dispatcher, Ticket, Verdict
+from verbenashore.dispatch import Dispatcher, Ticket, Verdict
 from verbenashore.events import NO_NUMBER, EventSplitter
 from verbenashore.exceptions import (
     BackendError,
@@ -30,6 +30,7 @@
 from verbenashore.listing import ListKeeper
 from verbenashore.logs import Event
 from verbenashore.messages import HeartbeatReply, ItemBody, ReadItemBody, ReadResults
+from verbenashore.places import Places
 from verbenashore.prober import Prober
 from verbenashore.process import Process
 from verbenashore.returning import ReturningCallers
@@ -44,8 +45,6 @@
 )
 from verbenashore.view import SystemView
 
-#: Seconds between two looks at the tickets that wait, when nothing else wakes them.
-POLL_SECONDS = 0.01
 #: Mean seconds between two looks at the age of the list.
 LIST_LOOK_SECONDS = 0.4
 #: Part of a route's objective, or of its longest pause, after which a silent server is left.
@@ -135,7 +134,7 @@
             settings.data_centre,
             misc.quick_hash(running.incarnation),
         )
-        self._wake = asyncio.Event()
+        self._places = Places(self._dispatcher, running.clock)
         self._list = ListKeeper(
             self._directory, self._dispatcher, given.fetch, running.clock, self._on_list
         )
@@ -152,7 +151,6 @@
         )
         self._returned = ReturningCallers()
         self._configured = asyncio.Event()
-        self._future_by_ticket: dict[Ticket, asyncio.Future[Decision]] = {}
         self._random = random.Random(misc.quick_hash(running.incarnation))
 
     async def run(self, listen: str, handle: httpserver.Handle) -> None:
@@ -165,7 +163,7 @@
         self._process.start(self._gossip.run(self._reports))
         self._process.start(self._keep_list())
         self._process.start(self._prober.run())
-        self._process.start(self._poll_tickets())
+        self._process.start(self._places.run())
         await self._process.wait_for_stop()
         logs.info(Event.STOPPING, open_calls=sum(load.online for load in self._board.own.values()))
         self._set_ready()
@@ -310,7 +308,7 @@
             finally:
                 self._dispatcher.release(server, self._clock() - placed_at)
                 self._gossip.mark_changed()
-                self._wake.set()
+                self._places.wake()
 
     def _note_failure(self, relay: Relay, server: BackendEntry, error: BackendError) -> None:
         now = self._clock()
@@ -341,7 +339,7 @@
 
     async def _place(self, relay: Relay) -> BackendEntry:
         ticket = relay.ticket
-        decision = self._dispatcher.request(ticket, self._clock())
+        decision = self._places.ask(ticket)
         if decision.verdict is Verdict.WAITING:
             logs.info(
                 Event.CALL_QUEUED,
@@ -352,13 +350,7 @@
                 patient=ticket.patient,
             )
             self._gossip.mark_changed()
-            future: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
-            self._future_by_ticket[ticket] = future
-            try:
-                decision = await future
-            finally:
-                del self._future_by_ticket[ticket]
-                self._give_back(ticket, future)
+            decision = await self._places.wait(ticket)
         if decision.server is None:
             if relay.runs:
                 raise OutcomeUnknownError(decision.reason, step="place")
@@ -378,12 +370,6 @@
         )
         return decision.server
 
-    def _give_back(self, ticket: Ticket, future: "asyncio.Future[Decision]") -> None:
-        """Frees what a ticket holds whose caller left while it waited."""
-        if not future.cancelled():
-            return
-        self._dispatcher.withdraw(ticket)
-
     async def _attempt(self, relay: Relay, server: BackendEntry) -> None:
         route = relay.route
         left = max(0.001, relay.end_at - self._clock())
@@ -456,20 +442,6 @@
             whole.append(event.raw)
         return b"".join(whole)
 
-    async def _poll_tickets(self) -> None:
-        while True:
-            if self._future_by_ticket:
-                await asyncio.sleep(POLL_SECONDS)
-            else:
-                await self._wake.wait()
-            self._wake.clear()
-            for ticket, decision in self._dispatcher.poll(self._clock()):
-                future = self._future_by_ticket.get(ticket)
-                if future is not None and not future.done():
-                    future.set_result(decision)
-                elif decision.server is not None:
-                    self._dispatcher.release(decision.server, 0.0)
-
     async def _keep_list(self) -> None:
         """Reads the list for itself while the leader's is missing or old."""
         while True:
@@ -494,14 +466,14 @@
     def _on_report(self, report: Report | None) -> None:
         if report is not None:
             self._prober.take(report)
-        self._wake.set()
+        self._places.wake()
 
     def _on_health(self) -> None:
         self._gossip.mark_changed()
-        self._wake.set()
+        self._places.wake()
 
     def _on_list(self) -> None:
-        self._wake.set()
+        self._places.wake()
         self._set_ready()
 
     def _on_change(self) -> None:
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -24,7 +24,8 @@
 BODY_SECONDS = 60.0
 WRITE_SECONDS = 20.0
 READ_BYTES = 64 << 10
-MAX_CONNECTIONS = 4000
+#: Leaves descriptors of the 4,100 of an instance for connections to backend servers.
+MAX_CONNECTIONS = 3000
 NO_HEADERS: Mapping[str, str] = {}
 
 
--- a/verbenashore/ledger.py
+++ b/verbenashore/ledger.py
@@ -128,6 +128,12 @@
         "seconds of silence after which a replica is replaced by a spare",
         "10",
     ),
+    Setting(
+        "election",
+        settings.parse_seconds,
+        "seconds without a leader after which an election may begin",
+        "0.4",
+    ),
     Setting(
         "snapshot-bytes",
         settings.parse_count,
@@ -181,7 +187,7 @@
         self._members_term = -1
         self._address_by_replica: dict[ReplicaId, str] = {}
         own = (running.name, settings.advertised(self._settings))
-        timing = replication.Timing(replace_after=self._settings.replace_after)
+        timing = replication.scaled(self._settings.election, self._settings.replace_after)
         self._runner_by_group = {
             group: ReplicaRunner(
                 group,
--- a/verbenashore/replication.py
+++ b/verbenashore/replication.py
@@ -19,13 +19,29 @@
     :param replace_after: how long a replica is silent before a learner takes its place.
     """
 
-    heartbeat: float = 0.05
-    election_min: float = 0.3
-    election_max: float = 0.55
-    lease: float = 0.22
+    heartbeat: float = 0.06
+    election_min: float = 0.4
+    election_max: float = 0.75
+    lease: float = 0.3
     replace_after: float = 10.0
 
 
+def scaled(election: float, replace_after: float) -> Timing:
+    """Returns the times of a group in the usual proportions.
+
+    :param election: seconds without a leader after which an election may begin.
+    """
+    usual = Timing()
+    factor = election / usual.election_min
+    return Timing(
+        usual.heartbeat * factor,
+        election,
+        usual.election_max * factor,
+        usual.lease * factor,
+        replace_after,
+    )
+
+
 class EntryKind(Enum):
     """What a log entry holds."""
 
