Start a replica again whose last write was torn before its last record

Cause: a write holds several records, and after a power loss any part of it may be missing. If a later record of the same write was whole, the replica took the torn one for damage in the middle and refused to start, for good. Two such replicas end a group of three.

Change: the first record of a write is marked; only a later write shows that damage is in the middle.

--- a/verbenashore/storage.py
+++ b/verbenashore/storage.py
@@ -12,7 +12,9 @@
 from verbenashore.replication import Base, HardState, LogEntry
 from verbenashore.types import ReplicaId
 
-MAGIC = b"\xf1VR1"
+#: Marks the first record of a write, and the others; a write is synced before the next one begins.
+FIRST = b"\xf1VR1"
+NEXT = b"\xf1VR2"
 HEADER = struct.Struct("<4sII")
 SEGMENT_BYTES = 8 << 20
 
@@ -98,7 +100,10 @@
         records.insert(0, HardRecord(hard))
     if not records:
         return
-    data = b"".join(_frame(msgspec.msgpack.encode(record)) for record in records)
+    data = b"".join(
+        _frame(msgspec.msgpack.encode(record), NEXT if position else FIRST)
+        for position, record in enumerate(records)
+    )
     try:
         _write_all(folder.descriptor, data)
         os.fdatasync(folder.descriptor)
@@ -188,8 +193,8 @@
     return Folder(path, replica_id, fresh=True)
 
 
-def _frame(payload: bytes) -> bytes:
-    return HEADER.pack(MAGIC, len(payload), crc32c(payload)) + payload
+def _frame(payload: bytes, mark: bytes = FIRST) -> bytes:
+    return HEADER.pack(mark, len(payload), crc32c(payload)) + payload
 
 
 def _unframe(data: bytes, offset: int) -> bytes | None:
@@ -198,7 +203,7 @@
         return None
     magic, length, checksum = HEADER.unpack_from(data, offset)
     payload = data[offset + HEADER.size : offset + HEADER.size + length]
-    if magic != MAGIC or len(payload) != length or crc32c(payload) != checksum:
+    if magic not in (FIRST, NEXT) or len(payload) != length or crc32c(payload) != checksum:
         return None
     return payload
 
@@ -261,10 +266,13 @@
 
 
 def _cut_tail(file: Path, data: bytes, offset: int, is_last: bool) -> None:
-    """Cuts a torn tail off; damage that whole records follow is an error."""
-    later = data.find(MAGIC, offset + 1)
+    """Cuts a torn write off; damage that a later write follows is an error.
+
+    Only the last write can be torn, in any of its records.
+    """
+    later = data.find(FIRST, offset + 1)
     while later >= 0 and _unframe(data, later) is None:
-        later = data.find(MAGIC, later + 1)
+        later = data.find(FIRST, later + 1)
     if later >= 0 or not is_last:
         raise StorageError(f"damaged at byte {offset}", step="open", peer=str(file))
     with file.open("r+b") as stream:
