--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -65,6 +65,8 @@
 START_SPREAD_SECONDS = 0.8
 #: Servers that may refuse one call without running it.
 MAX_REFUSALS = 4
+#: Seconds for each replica that a heartbeat is sent to; the answer needs no disk.
+HEARTBEAT_ATTEMPT_SECONDS = 0.25
 #: Seconds for a job's commit, and for a read of its results beyond the asked wait.
 JOB_SECONDS = 1.5
 SUCCESS = 200
@@ -123,6 +125,7 @@
             given.reports,
             BackendName(""),
             routing.decode,
+            HEARTBEAT_ATTEMPT_SECONDS,
         )
         self._view.on_change.append(self._on_change)
         self._view.on_reply.append(self._on_reply)
--- a/verbenashore/view.py
+++ b/verbenashore/view.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from verbenashore import deployment, logs
-from verbenashore.client import GroupClient
+from verbenashore.client import ATTEMPT_SECONDS, GroupClient
 from verbenashore.control import Change
 from verbenashore.exceptions import DeploymentError, VerbenaError
 from verbenashore.logs import Event
@@ -15,14 +15,13 @@
 
 HEARTBEAT_SECONDS = 0.5
 HEARTBEAT_DEADLINE = 2.0
-#: Seconds for each replica; a reply needs no disk.
-HEARTBEAT_ATTEMPT = 0.25
 
 
 class SystemView:
     """Keeps a process's knowledge fresh by heartbeats; it never goes back to an older revision.
 
     :param parse: reads the text of a configuration.
+    :param attempt: seconds for each replica that a heartbeat is sent to.
     :param confirmed_at: when the newest answered heartbeat was sent, on the process's clock.
     :param deployment: the configuration in force, as ``parse`` gave it.
     """
@@ -35,6 +34,7 @@
         address: str,
         backend: BackendName,
         parse: Callable[[str], Any] = deployment.parse,
+        attempt: float = ATTEMPT_SECONDS,
     ) -> None:
         self._process = running
         self._control = control
@@ -47,6 +47,7 @@
         self.confirmed_at = float("-inf")
         self.change: Change | None = None
         self._parse = parse
+        self._attempt = attempt
         self._lost = False
         self.backends_version = -1
         self.deployment: Any = parse("")
@@ -87,7 +88,7 @@
         """Sends one heartbeat and takes in its answer."""
         sent_at = self._process.clock()
         heartbeat = Heartbeat(self._member(), self._members_version, self.backends_version)
-        reply = await self._control.ask(heartbeat, HEARTBEAT_DEADLINE, attempt=HEARTBEAT_ATTEMPT)
+        reply = await self._control.ask(heartbeat, HEARTBEAT_DEADLINE, attempt=self._attempt)
         if not isinstance(reply, HeartbeatReply):
             raise VerbenaError("unexpected answer", step="heartbeat")
         self.confirmed_at = sent_at
