Let a stream that lost its agent before its first token wait for room

Cause: a stream counted as begun only once it had a token. One whose agent died before that asked the others as if nobody had tried it, with the short wait of a new request; after four refusals it ended with "the queue is too long", although it may have run and could not be called unrun. Change: such a stream waits for room until its deadline, like a begun one. Test: two in test_streams, both red before. The unit test is what shows the cause.

--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -107,6 +107,23 @@
     assert not failed.value.not_run
 
 
+def test_a_generation_that_lost_its_agent_waits_for_room_before_its_first_token():
+    lost = BackendError("gone", step="stream")
+    full = OverloadedError("full", step="admit")
+    agents = Agents([lost], *([full] for _ in range(7)), [part(0, "x", "stop")])
+    assert run(agents, hedge=False) == "x"
+    assert agents.calls[0].due_in < 3 < agents.calls[1].due_in
+
+
+def test_a_generation_waits_for_room_no_longer_than_its_deadline():
+    lost = BackendError("gone", step="stream")
+    full = OverloadedError("full", step="admit")
+    agents = Agents([lost], *([full] for _ in range(100)))
+    with pytest.raises(BackendError) as failed:
+        run(agents, hedge=False, deadline_seconds=0.5)
+    assert not failed.value.not_run
+
+
 def test_an_attempt_that_ends_without_its_last_part_is_a_failure():
     full = OverloadedError("full", step="admit")
     with pytest.raises(UnavailableError) as failed:
--- a/verbenashore/streams.py
+++ b/verbenashore/streams.py
@@ -285,7 +285,7 @@
     def _wait_left(self) -> float:
         """Returns how long an agent may let this stream wait for a slot, in seconds."""
         now = self._runner.clock()
-        if self._tokens:
+        if self._is_begun():
             return self._started + self._policy.deadline_seconds - now
         return max(0.0, self._started + self._policy.queue_seconds - now)
 
@@ -341,7 +341,7 @@
             self._runner.count("retries")
         if self._attempts:
             return
-        if refused and self._tokens:
+        if refused and self._is_begun():
             await self._wait_for_room()
         elif self._refusals >= MAX_REFUSALS:
             raise self._final(error)
@@ -352,6 +352,10 @@
             await asyncio.sleep(RETRY_PAUSE_SECONDS)
         self._launch_or_fail(error)
 
+    def _is_begun(self) -> bool:
+        """Tells whether a refusal would no longer be true of this stream."""
+        return bool(self._tokens) or self._may_have_run
+
     async def _wait_for_room(self) -> None:
         """Waits a moment with a begun stream that found every agent full."""
         target = self._choose(self._excluded)
