Elect a leader at once when the whole group was down

Change: voters that have heard no leader since their start call the roll. Two calls in which all voters state the same starts prove that no lease is left (rollcall.py says why); a vote is then granted without the wait, only in the stated start. A process whose disk is lost states that its voter is no more. Who has the newest log campaigns, so that votes aren't split. Ruled out: a shorter election time (frozen or throttled cores would lose their leader), entries that serve an old configuration after a restart. Four new mutants are noticed.

--- a/lab/mutants.py
+++ b/lab/mutants.py
@@ -47,8 +47,36 @@
     Mutant(
         "forgets its vote's shelter at a restart",
         "consensus.py",
-        "replica.heard_leader = now\n    _recall",
-        "replica.heard_leader = -1e9\n    _recall",
+        "replica.heard_leader = now\n    replica.start",
+        "replica.heard_leader = -1e9\n    replica.start",
+        CONSENSUS,
+    ),
+    Mutant(
+        "takes every restart for one of the whole group",
+        "consensus.py",
+        "fresh = replica.fresh and same",
+        "fresh = True",
+        CONSENSUS,
+    ),
+    Mutant(
+        "grants a vote by another start's statement",
+        "consensus.py",
+        "all_started = replica.fresh and request.start == replica.start",
+        "all_started = request.start != 0",
+        CONSENSUS,
+    ),
+    Mutant(
+        "believes one call of the roll",
+        "consensus.py",
+        "proved = starts == roll.proved",
+        "proved = True",
+        CONSENSUS,
+    ),
+    Mutant(
+        "is satisfied with a majority in a call of the roll",
+        "rollcall.py",
+        "if roll.missing:",
+        "if 2 * len(roll.said) < len(roll.voters):",
         CONSENSUS,
     ),
     Mutant(
--- a/tests/group.py
+++ b/tests/group.py
@@ -15,6 +15,7 @@
     LogEntry,
     Packet,
     Peer,
+    RollCallRequest,
     SnapshotRequest,
     Timing,
 )
@@ -98,6 +99,7 @@
             disk.base,
             disk.entries,
             self.now,
+            MemberName(name),
         )
         self.frozen.discard(name)
 
@@ -133,7 +135,8 @@
             return
         for name in self.running():
             apart = (sender in self.cut) != (name in self.cut)
-            if self.replicas[name].id == packet.to and not apart:
+            called = isinstance(packet.message, RollCallRequest) and packet.message.name == name
+            if (self.replicas[name].id == packet.to or called) and not apart:
                 consensus.receive(self.replicas[name], packet, self.now)
                 self.carry_out(name)
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -6,7 +6,18 @@
 from tests.group import TIMING, Group, run_machine
 from verbenashore import consensus, replication
 from verbenashore.consensus import Role
-from verbenashore.replication import Base, HardState, Packet, VoteReply, VoteRequest
+from verbenashore.replication import (
+    AppendRequest,
+    Base,
+    HardState,
+    Membership,
+    Packet,
+    Peer,
+    RollCallReply,
+    RollCallRequest,
+    VoteReply,
+    VoteRequest,
+)
 
 NAMES = st.sampled_from(["n0", "n1", "n2", "n3"])
 
@@ -43,6 +54,11 @@
     def a_replica_restarts(self, name):
         self.group.restart(name)
 
+    @rule(names=st.sets(NAMES, min_size=2))
+    def several_replicas_restart(self, names):
+        for name in sorted(names):
+            self.group.restart(name)
+
     @rule(name=NAMES)
     def a_disk_is_emptied(self, name):
         # Emptied disks of a majority at once are more than any group bears.
@@ -117,6 +133,72 @@
     assert group.servers()
 
 
+def test_a_group_that_was_down_as_a_whole_has_a_leader_without_the_wait_for_a_lease():
+    group = Group(seed=3)
+    group.run(2.0)
+    group.propose(b"kept")
+    group.run(0.5)
+    for name in list(group.replicas):
+        group.crash(name)
+    group.run(1.0)
+    for name in group.disks:
+        group.restart(name)
+        group.run(0.1)
+    group.run(0.1)
+    assert group.servers(), "the last one has run for 0.2 s, and an election waits 0.4 s"
+    assert group.commands() == [b"kept"]
+
+
+def test_a_group_that_was_down_does_not_wait_for_a_voter_that_lost_its_disk():
+    group = Group(seed=4)
+    group.run(2.0)
+    group.propose(b"kept")
+    group.run(0.5)
+    (leader,) = group.servers()
+    for name in list(group.replicas):
+        group.crash(name)
+    group.run(1.0)
+    for name in group.disks:
+        (group.start_new if name == leader else group.restart)(name)
+        group.run(0.1)
+    group.run(0.1)
+    assert group.servers() and group.commands() == [b"kept"]
+
+
+def test_a_restarted_majority_waits_for_the_lease_of_a_leader_that_it_can_not_see():
+    for seed in range(20):
+        group = Group(seed=seed)
+        group.run(2.0)
+        (leader,) = group.servers()
+        others = [name for name in sorted(group.replicas) if name != leader]
+        group.cut = {leader}
+        for name in others:
+            group.restart(name)
+        group.run(TIMING.election_min - 0.06)
+        assert not any(group.replicas[name].role is Role.LEADER for name in others)
+        group.run(1.5)
+        assert group.servers() and leader not in group.servers()
+
+
+def test_a_restarted_group_chooses_the_newest_log_at_once():
+    group = Group(seed=5)
+    group.run(2.0)
+    (leader,) = group.servers()
+    late = next(name for name in sorted(group.replicas) if name != leader)
+    group.crash(late)
+    group.propose(b"kept")
+    group.run(0.2)
+    term = max(replica.hard.term for replica in group.replicas.values())
+    for name in list(group.replicas):
+        group.crash(name)
+    group.run(0.1)
+    for name in group.disks:
+        group.restart(name)
+    group.run(0.24)
+    (chosen,) = group.servers()
+    assert chosen != late and group.replicas[chosen].hard.term == term + 1
+
+
 def test_a_leader_that_is_cut_off_stops_serving_before_another_starts():
     group = Group()
     group.run(2.0)
@@ -247,3 +329,88 @@
     group.run(1.0)
     assert group.peer(lost) in consensus.membership(group.replicas[leader]).voters
     assert len(consensus.membership(group.replicas[leader]).voters) == 3
+
+
+def started(names="abc"):
+    """Returns replica ``a`` of a group that has just started, with term 5 on its disk."""
+    known = Membership(tuple(Peer(name, name, name) for name in names))
+    base = Base(7, 5, known)
+    return consensus.new_replica("a", replication.Timing(), 1, HardState(5, ""), base, [], 0.0)
+
+
+def tell(replica, sender, message, now=0.01):
+    """Hands a replica one message and returns what it sends, by recipient."""
+    consensus.receive(replica, Packet(sender, "a", message), now)
+    return {packet.to: packet.message for packet in consensus.take_output(replica).packets}
+
+
+def append(term):
+    """Returns a leader's message without entries."""
+    return AppendRequest(term, 7, 5, [], 7, 0.0)
+
+
+def test_a_replica_that_has_heard_a_leader_or_knows_other_voters_does_not_count_as_just_started():
+    call = RollCallRequest(1, ["a", "b", "c"], "a")
+    replica = started()
+    assert tell(replica, "b", call)["b"].fresh
+    assert not tell(started(), "b", RollCallRequest(1, ["a", "b", "d"], "a"))["b"].fresh
+    tell(replica, "c", append(5))
+    assert not tell(replica, "b", call)["b"].fresh
+    leading = Group()
+    leading.run(2.0)
+    assert not any(replica.fresh for replica in leading.replicas.values())
+
+
+def test_a_vote_without_the_shelter_is_granted_only_to_who_knows_this_start():
+    def answer(replica, start):
+        return tell(replica, "b", VoteRequest(6, 7, 5, False, False, start))["b"].granted
+
+    replica = started()
+    assert not answer(replica, 0)
+    assert not answer(replica, replica.start + 1)
+    assert answer(replica, replica.start)
+    after_a_leader = started()
+    tell(after_a_leader, "c", append(5))
+    assert not answer(after_a_leader, after_a_leader.start)
+
+
+def test_only_the_process_that_ran_a_voter_tells_that_it_is_no_more():
+    def answer(own_name):
+        replica = consensus.new_replica(
+            "new", replication.Timing(), 1, HardState(), Base(), [], 0.0, own_name
+        )
+        consensus.receive(replica, Packet("b", "a", RollCallRequest(1, ["a", "b"], "n0")), 0.1)
+        return [(p.sender, p.message.fresh) for p in consensus.take_output(replica).packets]
+
+    assert answer("n0") == [("a", True)]
+    assert answer("n1") == answer("") == []
+
+
+def answers(replica, starts):
+    """Answers a replica's current call for the others; returns whom it asks for a vote then."""
+    sent = {}
+    for name, start in starts.items():
+        reply = RollCallReply(replica.roll.number, start, True, 5, 6)
+        sent |= tell(replica, name, reply)
+    return {name for name, message in sent.items() if isinstance(message, VoteRequest)}
+
+
+def test_two_calls_with_the_same_starts_are_needed_and_all_voters_in_each():
+    replica = started()
+    consensus.tick(replica, 0.0)
+    consensus.take_output(replica)
+    assert answers(replica, {"b": 11}) == set(), "one voter may still follow a leader"
+    assert answers(replica, {"c": 12}) == set(), "one may lead since it answered"
+    assert answers(replica, {"b": 11, "c": 13}) == set(), "one has started again in between"
+    assert answers(replica, {"b": 11, "c": 13}) == {"b", "c"}
+
+
+def test_an_answer_to_an_older_call_or_of_another_replica_proves_nothing():
+    replica = started()
+    consensus.tick(replica, 0.0)
+    consensus.take_output(replica)
+    old = RollCallReply(replica.roll.number, 11, True, 5, 6)
+    answers(replica, {"b": 11, "c": 12})
+    tell(replica, "b", old)
+    tell(replica, "d", RollCallReply(replica.roll.number, 9, True, 5, 6))
+    assert replica.roll.missing == {"b", "c"}
--- a/verbenashore/consensus.py
+++ b/verbenashore/consensus.py
@@ -10,7 +10,9 @@
 
 import msgspec
 
+from verbenashore import rollcall
 from verbenashore.replication import (
+    NAMELESS,
     NOBODY,
     AppendReply,
     AppendRequest,
@@ -23,12 +25,16 @@
     Message,
     Packet,
     Peer,
+    RollCallReply,
+    RollCallRequest,
     SnapshotRequest,
+    TermMessage,
     Timing,
     VoteReply,
     VoteRequest,
 )
-from verbenashore.types import LogIndex, ReplicaId, Term
+from verbenashore.rollcall import RollCall, Starts
+from verbenashore.types import LogIndex, MemberName, ReplicaId, Term
 
 MAX_ENTRIES_PER_MESSAGE = 512
 MAX_BYTES_PER_MESSAGE = 1 << 20
@@ -78,6 +84,9 @@
 
     :param persisted: the last index that is synced here.
     :param handed_out: the last committed index given to the runtime.
+    :param name: the process that runs it.
+    :param start: differs for every start; never 0.
+    :param fresh: true until it leads or hears a leader.
     """
 
     id: ReplicaId
@@ -98,6 +107,10 @@
     first_index: LogIndex = LogIndex(0)
     trial: bool = False
     handover: bool = False
+    name: MemberName = NAMELESS
+    start: int = 0
+    fresh: bool = True
+    roll: RollCall = msgspec.field(default_factory=RollCall)
     votes: set[ReplicaId] = msgspec.field(default_factory=set)
     progress: dict[ReplicaId, Progress] = msgspec.field(default_factory=dict)
     memberships: list[tuple[LogIndex, Membership]] = msgspec.field(default_factory=list)
@@ -112,12 +125,15 @@
     base: Base,
     entries: list[LogEntry],
     now: float,
+    name: MemberName = NAMELESS,
 ) -> Replica:
     """Returns a replica that starts from what its disk holds."""
     replica = Replica(replica_id, timing, random.Random(seed), hard, base, list(entries))
     replica.commit = replica.handed_out = base.index
     replica.persisted = last_index(replica)
+    replica.name = name
     replica.heard_leader = now
+    replica.start = replica.random.getrandbits(62) + 1
     _recall_memberships(replica)
     _reset_election(replica, now)
     return replica
@@ -181,6 +197,8 @@
             _broadcast(replica, now)
     elif now >= replica.election_at:
         _campaign(replica, now, trial=True, handover=False)
+    elif replica.fresh and now >= replica.roll.ask_at:
+        _call_roll(replica, now)
 
 
 def propose(replica: Replica, commands: list[bytes], now: float) -> list[LogIndex]:
@@ -255,23 +273,34 @@
 
 
 def receive(replica: Replica, packet: Packet, now: float) -> None:
-    """Takes a message from another replica; one that was meant for another id is dropped."""
-    if packet.to != replica.id:
-        return
+    """Takes a message from another replica; one that was meant for another id is dropped.
+
+    Only a roll call for the id that this process had on a disk that it lost is answered.
+    """
     message = packet.message
-    if isinstance(message, VoteRequest):
-        _on_vote_request(replica, packet.sender, message, now)
+    if isinstance(message, RollCallRequest):
+        _answer_roll(replica, packet, message)
+    elif packet.to != replica.id:
         return
+    elif isinstance(message, RollCallReply):
+        _on_roll_answer(replica, packet.sender, message, now)
+    elif isinstance(message, VoteRequest):
+        _on_vote_request(replica, packet.sender, message, now)
+    else:
+        _receive_in_term(replica, packet.sender, message, now)
+
+
+def _receive_in_term(replica: Replica, sender: ReplicaId, message: TermMessage, now: float) -> None:
     if message.term > replica.hard.term and not _is_trial_reply(message):
         _follow(replica, message.term, NOBODY, now)
     if isinstance(message, VoteReply):
-        _on_vote_reply(replica, packet.sender, message, now)
+        _on_vote_reply(replica, sender, message, now)
     elif isinstance(message, AppendRequest):
-        _on_append(replica, packet.sender, message, now)
+        _on_append(replica, sender, message, now)
     elif isinstance(message, AppendReply):
-        _on_append_reply(replica, packet.sender, message, now)
+        _on_append_reply(replica, sender, message, now)
     elif isinstance(message, SnapshotRequest):
-        _on_snapshot(replica, packet.sender, message, now)
+        _on_snapshot(replica, sender, message, now)
     elif message.term == replica.hard.term and is_voter(replica):
         _campaign(replica, now, trial=False, handover=True)
 
@@ -303,7 +332,66 @@
     _reset_election(replica, now)
 
 
-def _campaign(replica: Replica, now: float, *, trial: bool, handover: bool) -> None:
+def _other_voters(replica: Replica) -> frozenset[ReplicaId]:
+    return frozenset(peer.id for peer in membership(replica).voters) - {replica.id}
+
+
+def _call_roll(replica: Replica, now: float) -> None:
+    """Asks the voters that haven't said so yet whether they have only just started, too."""
+    replica.roll.ask_at = now + replica.timing.heartbeat
+    others = _other_voters(replica)
+    if not is_voter(replica) or not others:
+        return
+    if others != replica.roll.voters or not replica.roll.missing:
+        rollcall.begin(replica.roll, others)
+    for voter in replica.roll.missing:
+        _ask_for_start(replica, voter)
+
+
+def _ask_for_start(replica: Replica, voter: ReplicaId) -> None:
+    roll = replica.roll
+    name = next(peer.name for peer in membership(replica).voters if peer.id == voter)
+    _send(replica, voter, RollCallRequest(roll.number, [*roll.voters, replica.id], name))
+
+
+def _answer_roll(replica: Replica, packet: Packet, request: RollCallRequest) -> None:
+    same = set(request.voters) == _other_voters(replica) | {replica.id}
+    fresh = replica.fresh and same
+    last = last_index(replica)
+    last_term = term_at(replica, last) or Term(0)
+    if packet.to != replica.id:
+        if not replica.name or request.name != replica.name:
+            return
+        # The voter ran in this process, and its disk is lost: it can't lead any more.
+        fresh, last, last_term = True, LogIndex(0), Term(0)
+    reply = RollCallReply(request.number, replica.start, fresh, last_term, last)
+    replica.output.packets.append(Packet(packet.to, packet.sender, reply))
+    if replica.fresh and packet.sender in replica.roll.missing:
+        # It runs by now, which it may not have done when it was asked.
+        _ask_for_start(replica, packet.sender)
+
+
+def _on_roll_answer(replica: Replica, sender: ReplicaId, reply: RollCallReply, now: float) -> None:
+    """Campaigns without delay once it is proved that no leader's lease can be left."""
+    roll = replica.roll
+    if not replica.fresh or roll.voters != _other_voters(replica):
+        return
+    starts = rollcall.take(roll, sender, reply)
+    if starts is None:
+        return
+    last = last_index(replica)
+    proved = starts == roll.proved
+    first = rollcall.is_first(roll, replica.id, term_at(replica, last) or Term(0), last)
+    roll.proved = starts
+    if not proved:
+        _call_roll(replica, now)
+    elif first:
+        _campaign(replica, now, trial=False, handover=False, starts=starts)
+
+
+def _campaign(
+    replica: Replica, now: float, *, trial: bool, handover: bool, starts: Starts | None = None
+) -> None:
     _reset_election(replica, now)
     if not is_voter(replica):
         return
@@ -318,10 +406,9 @@
     last = last_index(replica)
     last_term = term_at(replica, last)
     assert last_term is not None
-    request = VoteRequest(term, last, last_term, trial, handover)
-    for peer in membership(replica).voters:
-        if peer.id != replica.id:
-            _send(replica, peer.id, request)
+    for voter in _other_voters(replica):
+        start = starts[voter] if starts is not None else 0
+        _send(replica, voter, VoteRequest(term, last, last_term, trial, handover, start))
     _count_votes(replica, now)
 
 
@@ -337,6 +424,7 @@
 
 def _lead(replica: Replica, now: float) -> None:
     replica.role = Role.LEADER
+    replica.fresh = False
     replica.leader = replica.id
     replica.led_since = now
     after_last = LogIndex(last_index(replica) + 1)
@@ -353,8 +441,10 @@
 
 
 def _on_vote_request(replica: Replica, sender: ReplicaId, request: VoteRequest, now: float) -> None:
+    all_started = replica.fresh and request.start == replica.start
     sheltered = (
         not request.handover
+        and not all_started
         and now - replica.heard_leader < replica.timing.election_min
         or replica.role is Role.LEADER
     )
@@ -482,6 +572,7 @@
 def _hear_leader(replica: Replica, sender: ReplicaId, now: float) -> None:
     replica.role = Role.FOLLOWER
     replica.leader = sender
+    replica.fresh = False
     replica.heard_leader = now
     _reset_election(replica, now)
 
--- a/verbenashore/replica.py
+++ b/verbenashore/replica.py
@@ -92,6 +92,7 @@
             loaded.snapshot.base,
             loaded.entries,
             clock(),
+            own[0],
         )
         self._inbox: asyncio.Queue[Input] = asyncio.Queue()
         self._pending_by_index: dict[LogIndex, Pending] = {}
--- a/verbenashore/replication.py
+++ b/verbenashore/replication.py
@@ -7,6 +7,7 @@
 from verbenashore.types import LogIndex, MemberName, ReplicaId, Term
 
 NOBODY = ReplicaId("")
+NAMELESS = MemberName("")
 
 
 class Timing(msgspec.Struct, frozen=True):
@@ -111,6 +112,7 @@
 
     :param trial: a pre-vote, which changes no term.
     :param handover: the leader asked for this election, so its lease doesn't stand against it.
+    :param start: the recipient's start, if all voters have just started; else 0.
     """
 
     term: Term
@@ -118,6 +120,7 @@
     last_term: Term
     trial: bool
     handover: bool
+    start: int = 0
 
 
 class VoteReply(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -169,7 +172,39 @@
     term: Term
 
 
-Message = VoteRequest | VoteReply | AppendRequest | AppendReply | SnapshotRequest | HandoverRequest
+class RollCallRequest(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Asks a voter whether it has only just started.
+
+    :param number: of the asker's call.
+    :param voters: all voters, as the asker knows them.
+    :param name: the process that ran the voter when the asker last knew.
+    """
+
+    number: int
+    voters: list[ReplicaId]
+    name: MemberName
+
+
+class RollCallReply(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """Answers a roll call.
+
+    :param start: differs for every start of the replica.
+    :param fresh: it has neither led nor heard a leader since, and knows the same voters; or the
+        voter is no more, since its process came back on an empty disk.
+    """
+
+    number: int
+    start: int
+    fresh: bool
+    last_term: Term
+    last_index: LogIndex
+
+
+RollCallMessage = RollCallRequest | RollCallReply
+TermMessage = (
+    VoteRequest | VoteReply | AppendRequest | AppendReply | SnapshotRequest | HandoverRequest
+)
+Message = TermMessage | RollCallMessage
 
 
 class Packet(msgspec.Struct, frozen=True, array_like=True):
