Let an entry listen before it has loaded

Change: run.py opens the listening socket before it imports the programs (programs.py); who comes meanwhile waits in its queue. Test: test_a_call_that_was_sent_before_the_program_ran_is_answered. Ruled out: faster imports (absl and site are 50 of 150 ms, the rest is spread over ninety modules).

--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import socket
 from typing import Any
 
 import msgspec
@@ -105,7 +106,6 @@
 class Gateway:
     """The relaying side of one entry process.
 
-    :param listen: ``IP:PORT`` for callers.
     :param seeds: addresses of some ledger processes.
     """
 
@@ -156,8 +156,11 @@
         self._configured = asyncio.Event()
         self._random = random.Random(misc.quick_hash(running.incarnation))
 
-    async def run(self, listen: str, handle: httpserver.Handle) -> None:
-        """Serves callers until told to stop, then finishes what was begun."""
+    async def run(self, listen: str | socket.socket, handle: httpserver.Handle) -> None:
+        """Serves callers until told to stop, then finishes what was begun.
+
+        :param listen: ``IP:PORT`` for callers, or a socket that listens already.
+        """
         closing = asyncio.Event()
         ended = asyncio.Event()
         serving = asyncio.create_task(httpserver.serve(listen, handle, ended, closing, self.tuning))
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -1,6 +1,7 @@
 """An HTTP/1.1 server over h11, with limits on what a caller may do to it."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 from urllib.parse import parse_qsl, unquote, urlsplit
@@ -17,9 +18,9 @@
     VerbenaError,
 )
 from verbenashore.httpclient import Headers
+from verbenashore.listener import BACKLOG, open_listener
 from verbenashore.logs import Event
 from verbenashore.routing import CallerLimits
-from verbenashore.settings import parse_address
 
 BODY_SECONDS = 60.0
 WRITE_SECONDS = 20.0
@@ -150,7 +151,7 @@
 
 
 async def serve(
-    address: str,
+    address: str | socket.socket,
     handle: Handle,
     stopping: asyncio.Event,
     closing: asyncio.Event | None = None,
@@ -158,11 +159,12 @@
 ) -> None:
     """Serves until told to stop; then ends each connection after the request it is busy with.
 
+    :param address: ``IP:PORT``, or a socket that listens already.
     :param closing: set some time before ``stopping``; from then on each response ends its
         connection, while new connections are still served.
     :raises OSError: if the address can't be bound.
     """
-    place = parse_address(address)
+    listener = open_listener(address) if isinstance(address, str) else address
     shared = _Shared(handle, stopping, closing or asyncio.Event(), tuning or Tuning())
     conversations: set[_Conversation] = set()
     tasks: set[asyncio.Task[Any]] = set()
@@ -186,7 +188,7 @@
             tasks.discard(task)
             writer.close()
 
-    server = await asyncio.start_server(connected, place.host, place.port, backlog=1024)
+    server = await asyncio.start_server(connected, sock=listener, backlog=BACKLOG)
     try:
         await stopping.wait()
         server.close()
