Go on from the state's time with a leader's first command

Cause: a leader's time was set after the commands of the same turn were stamped. A command that came the moment it began to serve was stamped with the machine's uptime instead; the state's time jumped ahead by it, and every job, result and record ended as too old. That is what "nothing can be read after the last fault" was: a new leader, and callers who wait for it. Change: the time is based at its first use in each term. Test: test_the_time_of_the_first_command_of_a_leader_goes_on_from_that_of_ its_state; before, its state's time went from 0 to 3,001,690 s. Ruled out: the log (all replicas agree), the commits of progress, the roll call (that leader came by an ordinary election).

--- a/verbenashore/replica.py
+++ b/verbenashore/replica.py
@@ -14,7 +14,7 @@
 from verbenashore.logs import Event
 from verbenashore.machine import Command, Result
 from verbenashore.replication import EntryKind, LogEntry, Packet, Peer, SnapshotRequest
-from verbenashore.types import Clock, GroupId, LogIndex, MemberName
+from verbenashore.types import Clock, GroupId, LogIndex, MemberName, Term
 
 TICK_SECONDS = 0.02
 #: Seconds between two tries of a retired leader to give its leadership away.
@@ -99,6 +99,7 @@
         self._log_bytes = 0
         self._snapshotting = False
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._time_term = Term(-1)
         self._time_base = 0.0
         self._clock_base = 0.0
         self._was_serving = False
@@ -132,7 +133,15 @@
 
     @property
     def ledger_time(self) -> float:
-        """The time that the next command would be stamped with."""
+        """The time that the next command would be stamped with, if this replica leads.
+
+        It goes on from the time of the state from the first use in each term on: a command may
+        come before anything else has noticed that this replica leads.
+        """
+        if self._time_term != self.core.hard.term:
+            self._time_term = self.core.hard.term
+            self._time_base = self.state.time
+            self._clock_base = self._clock()
         return self._time_base + self._clock() - self._clock_base
 
     def check_serving(self) -> None:
@@ -247,8 +256,6 @@
         serving = self.serving
         leading = self.core.role is Role.LEADER
         if serving and not self._was_serving:
-            self._time_base = self.state.time
-            self._clock_base = self._clock()
             logs.info(Event.LEADER_ELECTED, group=self.group, term=self.core.hard.term)
         if self._was_leader and not leading:
             logs.info(Event.LEADER_LOST, group=self.group, term=self.core.hard.term)
