Suspect a server for what it did, not for what its calls were

Change: three slow or broken answers in a row; the first pause is the short one; after a good status check it takes two more. Only a server that can't be reached is told on. A server takes items again 0.15 s after a yield, not 0.4.

--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -21,8 +21,9 @@
 #: Seconds for which a server that failed is passed over; doubles up to the second figure.
 SUSPEND_SECONDS = 0.3
 MAX_SUSPEND_SECONDS = 2.0
-#: Soft failures in a row after which a server is suspected; single lost answers are common.
-SOFT_FAILURES = 2
+#: Soft failures in a row after which a server is suspected: one lookup in six takes longer than a
+#: retry is worth waiting for (trouble-1 of hanger-loop), so two in a row are common.
+SOFT_FAILURES = 3
 #: Seconds between two probes of a suspected server.
 PROBE_SECONDS = 0.25
 #: Seconds after which a suspected server gets a call although no probe succeeded, for a status
@@ -93,7 +94,8 @@
     :param avoid_until: it gets nothing before this time.
     :param failures: in a row.
     :param suspected: it gets nothing before a probe succeeds, either.
-    :param hearsay: only another member found it unreachable; that isn't told on.
+    :param told: it was found unreachable here, which the other members are told; a slow or
+        broken answer may be the call's own, and hearsay isn't passed on.
     :param since: when it was suspected.
     :param probe_at: when it is to be probed next.
     """
@@ -101,7 +103,7 @@
     avoid_until: float = float("-inf")
     failures: int = 0
     suspected: bool = False
-    hearsay: bool = False
+    told: bool = False
     since: float = float("-inf")
     probe_at: float = float("inf")
 
@@ -191,13 +193,14 @@
         if kind is Failure.REPORTED and health.suspected:
             return False
         health.failures += 1
-        if kind in (Failure.SILENT, Failure.BROKEN) and health.failures < SOFT_FAILURES:
+        enough = SOFT_FAILURES if kind in (Failure.SILENT, Failure.BROKEN) else 1
+        if health.failures < enough:
             return False
         newly = not health.suspected
-        pause = min(MAX_SUSPEND_SECONDS, SUSPEND_SECONDS * 2 ** min(8, health.failures - 1))
+        pause = min(MAX_SUSPEND_SECONDS, SUSPEND_SECONDS * 2 ** min(8, health.failures - enough))
         health.avoid_until = now + (SUSPEND_SECONDS if kind is Failure.REPORTED else pause)
         health.suspected = True
-        health.hearsay = kind is Failure.REPORTED
+        health.told = kind is Failure.UNREACHABLE
         health.since = now
         health.probe_at = min(health.probe_at, now + PROBE_SECONDS)
         return newly
@@ -217,15 +220,17 @@
         health = self._health_by_name.get(name)
         if health is not None:
             health.suspected = False
+            # It has to fail twice again: a status check may be right, and the calls unlucky.
+            health.failures = min(health.failures, SOFT_FAILURES - 2)
             health.probe_at = float("inf")
 
     @property
     def suspects(self) -> list[BackendName]:
-        """The servers that this process itself suspects at present."""
+        """The servers that this process found unreachable and still suspects."""
         return [
             name
             for name, health in self._health_by_name.items()
-            if health.suspected and not health.hearsay
+            if health.suspected and health.told
         ]
 
     def note_full(self, name: BackendName, now: float) -> None:
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -32,7 +32,7 @@
 RESERVED_SLOTS = 1
 #: Seconds for which a server gets no new item after one had to yield there: each start reads the
 #: prompt again, which slows the online calls that the item yielded to.
-YIELD_PAUSE_SECONDS = 0.4
+YIELD_PAUSE_SECONDS = 0.15
 #: Assumed seconds of an item's whole run before any has ended, and the newest one's weight.
 FIRST_RUN_SECONDS = 5.0
 RUN_WEIGHT = 0.1
