Count an item's pauses into what it still takes, and try it elsewhere

Change: the runner learns how much longer items last with their pauses (3 s of each, at most twice the time), and urgency goes by that; an item goes to a server that failed it only once all others have failed it, too.

--- a/tests/test_jobrunner.py
+++ b/tests/test_jobrunner.py
@@ -18,7 +18,13 @@
     KeepProgress,
     SubmitItemJob,
 )
-from verbenashore.jobrunner import JobRunner, Usual, in_order
+from verbenashore.jobrunner import (
+    LONGEST_PAUSE_SECONDS,
+    JobRunner,
+    Progress,
+    Usual,
+    in_order,
+)
 from verbenashore.prober import Prober
 from verbenashore.routing import Route, RouteIndex, RouteKind, RouteTable, Share
 
@@ -84,25 +90,33 @@
         on_time += end <= chosen.due_at
 
 
-def play_bursts(order, arrivals, slots, seconds):
+def play_bursts(order, arrivals, slots, seconds, learns=True):
     """Plays jobs on slots that online calls take for 2.8 s of every 6.6 s.
 
     The items that run are chosen anew every 0.1 s; returns how many were done in time.
+
+    :param learns: how long an item takes is learnt, with its pauses.
     """
     jobs = [job(number, at) for number, at in enumerate(arrivals)]
     by_id = {one.id: one for one in jobs}
-    produced = {}
+    items = {}
     usual = Usual(RUN_SECONDS, EVENTS)
     on_time = 0
     for step in range(round(seconds / 0.1)):
         now = step * 0.1
         free = slots // 8 if now % 6.6 < 2.8 else slots
         come = [one for one in jobs if one.submitted_at <= now]
-        for key in order(come, now, lambda *one: usual.left(produced.get(one, 0)))[:free]:
-            produced[key] = produced.get(key, 0) + EVENTS * 0.1 / RUN_SECONDS
-            if produced[key] >= EVENTS:
+        keys = order(come, now, lambda *one: usual.left(items[one].events if one in items else 0))
+        for key in keys[:free]:
+            progress = items.setdefault(key, Progress())
+            progress.note_start(now)
+            progress.texts += ["x"] * round(EVENTS * 0.1 / RUN_SECONDS)
+            progress.note_stop(now, now + 0.1)
+            if progress.events >= EVENTS:
                 by_id[key[0]].items[key[1]].listed = True
                 on_time += now + 0.1 <= by_id[key[0]].due_at
+                if learns:
+                    usual.note(progress)
     return on_time
 
 
@@ -129,19 +143,38 @@
 def test_what_a_run_still_takes_is_learnt_and_never_nothing():
     usual = Usual()
     assert usual.left(50) == usual.seconds
-    usual.note(4.0, 200)
+    usual.note(Progress(texts=["x"] * 200, ran=4.0))
     assert usual.left(0) == pytest.approx(usual.seconds)
     assert usual.left(100) == pytest.approx(usual.seconds / 2)
     assert usual.left(1000) > 0
 
 
-@pytest.mark.parametrize("gap", [1.0, 1.2, 1.4])
-def test_bursts_of_online_calls_make_fewer_items_late_than_job_by_job(gap):
-    """40 slots, of which bursts leave 5, carry 5 items/s; there come 10 to 7 of them."""
+def test_pauses_for_online_calls_count_and_long_waits_for_other_items_do_not():
+    usual = Usual(RUN_SECONDS, EVENTS)
+    progress = Progress()
+    for start in (0.0, 4.0, 60.0):
+        progress.note_start(start)
+        progress.texts += ["x"] * 40
+        progress.note_stop(start, start + 2.0)
+    assert (progress.ran, progress.paused) == (6.0, 2.0 + LONGEST_PAUSE_SECONDS)
+    usual.note(progress)
+    assert 1.0 < usual.interrupted < 2.0
+
+
+@pytest.mark.parametrize("gap", [0.8, 1.0, 1.2, 1.4])
+def test_bursts_of_online_calls_make_fewer_items_late_than_former_orders(gap):
+    """40 slots, of which bursts leave 5, carry 5 items/s; there come 12 to 7 of them."""
     arrivals = [n * gap for n in range(round(40 / gap))]
-    before = play_bursts(job_by_job, arrivals, 40, 80.0)
     after = play_bursts(in_order, arrivals, 40, 80.0)
-    assert after > before
+    assert after > play_bursts(job_by_job, arrivals, 40, 80.0)
+    assert after > play_bursts(in_order, arrivals, 40, 80.0, learns=False)
+
+
+@pytest.mark.parametrize("gap", [1.6, 2.0])
+def test_items_that_can_all_be_done_in_time_are(gap):
+    """The same slots; there come 6 and 5 items/s."""
+    arrivals = [n * gap for n in range(round(40 / gap))]
+    assert play_bursts(in_order, arrivals, 40, 80.0) == 10 * len(arrivals)
 
 
 @pytest.mark.parametrize("gap", [0.3, 0.4, 0.5])
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -17,7 +17,7 @@
 from verbenashore.directory import BackendEntry, Directory
 from verbenashore.dispatch import Dispatcher
 from verbenashore.events import NO_NUMBER, EventSplitter
-from verbenashore.exceptions import BackendError, VerbenaError
+from verbenashore.exceptions import BackendBusyError, BackendError, VerbenaError
 from verbenashore.itemjobs import Advanced, Attempt, ItemJob, ItemJobBook, ItemState, Outcome
 from verbenashore.logs import Event
 from verbenashore.prober import Prober
@@ -36,6 +36,11 @@
 #: Assumed seconds of an item's whole run before any has ended, and the newest one's weight.
 FIRST_RUN_SECONDS = 5.0
 RUN_WEIGHT = 0.1
+#: Longest pause of an item in seconds that counts as one for online calls, which come in bursts of
+#: some seconds; one that waits longer waits for other items.
+LONGEST_PAUSE_SECONDS = 3.0
+#: How many times longer a run may be taken to last beside online calls than alone.
+MOST_INTERRUPTED = 2.0
 #: Share of a whole run that an item counts as having left at least, whatever it has produced.
 LEAST_LEFT = 0.1
 #: Seconds between two commits of what running items have produced; what is newer is run again
@@ -46,6 +51,7 @@
 #: Seconds between two looks at what may start.
 LOOK_SECONDS = 0.02
 IMPOSSIBLE_STATUS = 422
+NO_SERVERS: set[BackendName] = set()
 
 ItemKey = tuple[JobId, int]
 
@@ -56,12 +62,20 @@
     :param before: events that an earlier leader had kept.
     :param texts: the data of each event after those.
     :param not_before: when it may be tried again.
+    :param ran: seconds that it spent at servers.
+    :param paused: seconds in between, for online calls.
+    :param stopped_at: when it last left a server.
+    :param failed_at: servers that failed it; they get it again once all others have, too.
     """
 
     before: int = 0
     texts: list[str] = msgspec.field(default_factory=list)
     last_event: int | None = None
     not_before: float = float("-inf")
+    ran: float = 0.0
+    paused: float = 0.0
+    stopped_at: float | None = None
+    failed_at: set[BackendName] = msgspec.field(default_factory=set)
 
     @property
     def events(self) -> int:
@@ -72,26 +86,43 @@
         """Returns the data of the events after the first ones, which are kept."""
         return self.texts[kept - self.before :]
 
+    def note_start(self, now: float) -> None:
+        """Notes that it is placed."""
+        if self.stopped_at is not None:
+            self.paused += min(LONGEST_PAUSE_SECONDS, now - self.stopped_at)
+
+    def note_stop(self, started: float, now: float) -> None:
+        """Notes that it left the server at which it was placed."""
+        self.ran += now - started
+        self.stopped_at = now
+
 
 class Usual(msgspec.Struct):
     """What a whole run usually is.
 
-    :param seconds: what it takes.
+    :param seconds: what it takes at servers.
     :param events: how many it produces; 0 while unknown.
+    :param interrupted: how many times longer it lasts beside online calls than alone.
     """
 
     seconds: float = FIRST_RUN_SECONDS
     events: float = 0.0
+    interrupted: float = 1.0
 
     def left(self, events: int) -> float:
-        """Returns the seconds that a run still takes which has produced some events."""
+        """Returns the seconds that an item still takes which has produced some events."""
         share = 1.0 - events / self.events if self.events else 1.0
-        return self.seconds * max(LEAST_LEFT, share)
+        return self.seconds * self.interrupted * max(LEAST_LEFT, share)
 
-    def note(self, seconds: float, events: int) -> None:
-        """Takes in a whole run."""
-        self.seconds += RUN_WEIGHT * (seconds - self.seconds)
-        self.events += (RUN_WEIGHT if self.events else 1.0) * (events - self.events)
+    def note(self, done: Progress) -> None:
+        """Takes in an item that is done."""
+        made = len(done.texts)
+        self.events += (RUN_WEIGHT if self.events else 1.0) * (done.events - self.events)
+        if 2 * made < done.events or not done.ran:
+            return
+        self.seconds += RUN_WEIGHT * (done.ran * done.events / made - self.seconds)
+        interrupted = min(MOST_INTERRUPTED, 1.0 + done.paused / done.ran)
+        self.interrupted += RUN_WEIGHT * (interrupted - self.interrupted)
 
 
 class Urgency(msgspec.Struct, frozen=True, order=True, array_like=True):
@@ -294,10 +325,11 @@
             service = routing.choose_service(route, item.spec.id)
             if not free_by_service.get(service, True):
                 continue
-            server = self._choose(service, now)
-            free_by_service[service] = server is not None
+            server = self._choose(service, now, progress.failed_at)
             if server is not None:
                 self._start(job, key, server, progress)
+            elif not progress.failed_at:
+                free_by_service[service] = False
 
     def _has_room(self, now: float) -> bool:
         """Tells whether any service has a free slot, without a look at the items."""
@@ -319,11 +351,18 @@
             return self._usual.left(progress.events)
         return self._usual.left(self._book().job_by_id[job].items[index].events)
 
-    def _choose(self, service: ServiceName, now: float) -> BackendEntry | None:
+    def _choose(
+        self, service: ServiceName, now: float, excluded: set[BackendName] = NO_SERVERS
+    ) -> BackendEntry | None:
         """Returns the server with the most free slots beyond the reserved ones."""
         best = None
         most = 0
-        for server in self._directory.of_service(service):
+        servers = self._directory.of_service(service)
+        if excluded and excluded.issuperset(server.name for server in servers):
+            excluded.clear()
+        for server in servers:
+            if server.name in excluded:
+                continue
             total = self._board.total(server.name)
             free = server.slots - RESERVED_SLOTS - total.online - total.batch
             if now < self._yielded_at.get(server.name, float("-inf")) + YIELD_PAUSE_SECONDS:
@@ -335,6 +374,7 @@
     def _start(self, job: ItemJob, key: ItemKey, server: BackendEntry, progress: Progress) -> None:
         run = Run(key, job.items[key[1]].spec.id, server)
         self._run_by_key[key] = run
+        progress.note_start(self._clock())
         self._board.add(server.name, batch=1)
         self._on_load()
         logs.info(
@@ -346,13 +386,17 @@
         run.task = misc.spawn(self._guarded(job, run, progress), self._tasks)
 
     async def _guarded(self, job: ItemJob, run: Run, progress: Progress) -> None:
+        started = self._clock()
         try:
             outcome = await self._attempt(job, run, progress)
         except BackendError as error:
             self._retry(run, progress, error)
             return
         finally:
+            progress.note_stop(started, self._clock())
             self._take_off(run)
+        if outcome is Outcome.COMPLETED:
+            self._usual.note(progress)
         logs.info(Event.ITEM_ENDED, **_names(run), outcome=outcome, events=progress.events)
         try:
             await self._record(job, run.key[1], outcome, progress)
@@ -408,6 +452,8 @@
     def _retry(self, run: Run, progress: Progress, error: BackendError) -> None:
         now = self._clock()
         progress.not_before = now + RETRY_SECONDS
+        if not isinstance(error, BackendBusyError):
+            progress.failed_at.add(run.server.name)
         self._prober.note_error(run.server.name, error)
         logs.warning(Event.ITEM_RETRIED, **_names(run), step=error.step, error=error.message)
         if self._run_by_key.get(run.key) is run:
@@ -416,7 +462,6 @@
 
     async def _attempt(self, job: ItemJob, run: Run, progress: Progress) -> Outcome:
         spec = job.items[run.key[1]].spec
-        started, whole = self._clock(), progress.last_event is None
         headers = [(name.encode(), value.encode()) for name, value in spec.headers]
         path = spec.target.partition("?")[0]
         call = Call(spec.id, job.host, "POST", spec.target, path, headers, spec.body)
@@ -437,8 +482,6 @@
                 raise BackendError(f"status {status}", step="head", peer=run.server.name)
             await self._collect(opened, run, progress)
         self._dispatcher.note_success(run.server.name)
-        if whole:
-            self._usual.note(self._clock() - started, progress.events)
         return Outcome.COMPLETED
 
     async def _collect(self, opened: backendcall.Opened, run: Run, progress: Progress) -> None:
