Read results in the caller's data centre

Change: the leader names each member a replica in its data centre. It asks the leader how far the state is, catches up and answers; without it, or when it fails, results are read at the leader as before. Ruled out: a store of results at the entries (each is asked about once), compression (the texts are random; 0.64).

--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -197,6 +197,12 @@
         else:
             await respond.json(200, {"instances": entries[:2], "next": "p-2"})
 
+    @staticmethod
+    def zone_of(name):
+        """Returns where an instance is; the engines are with the first ones."""
+        number = name.rpartition("-")[2]
+        return "dc" if number == "0" else f"dc-{number}"
+
     def start(self, name):
         """Starts a program with a settings file of its own."""
         ip, role = self.ip_by_name[name], name.partition("-")[0]
@@ -205,7 +211,7 @@
         lines = [
             f'node_name = "{name}"',
             f'ip = "{ip}"',
-            'zone = "dc"',
+            f'zone = "{self.zone_of(name)}"',
             f"internal_ports = [{self.port + 1}, {self.port + 9}]",
             f"seeds = {json.dumps([f'{seed}:{self.port + 22}' for seed in self.seeds])}",
             f"bootstrap = {str(self.first_start).lower()}",
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import re
 import signal
 import socket
 import threading
@@ -178,6 +179,40 @@
     assert results(platform, "nobody") == 404
 
 
+def nearby_reads(platform, entry):
+    """Returns how many reads of results an entry has made in its own data centre."""
+    address = f"{platform.ip_by_name[entry]}:9464"
+    text = platform.ask(address, "GET", "/metrics")[2].decode()
+    found = re.search(r'name="results.nearby"} (\d+)', text)
+    return int(found[1]) if found else 0
+
+
+def test_results_come_from_the_own_data_centre_and_without_it_from_the_leader(platform):
+    ledgers = [name for name in platform.ip_by_name if name.startswith("ledger")]
+    elected = [
+        (event["time"], name)
+        for name in ledgers
+        for event in platform.events(name)
+        if event["name"] == "leader_elected"
+    ]
+    leader = max(elected)[1]
+    at_leader = platform.zone_of(leader)
+    entry = next(n for n in ("entry-0", "entry-1") if platform.zone_of(n) != at_leader)
+    near = next(n for n in ledgers if platform.zone_of(n) == platform.zone_of(entry))
+    assert submit(platform, "job-near", ["near-1", "near-2"]) == 202
+    listed = all_results(platform, "job-near", 2, entry)
+    wait_until(
+        lambda: results(platform, "job-near", 0, entry)["results"] == listed
+        and nearby_reads(platform, entry)
+    )
+    platform.signal(near, signal.SIGSTOP)
+    try:
+        assert results(platform, "job-near", 0, entry)["results"] == listed
+    finally:
+        platform.signal(near, signal.SIGCONT)
+    assert results(platform, "job-near", 0, entry)["results"] == listed
+
+
 def test_impossible_items_are_given_up_and_failing_ones_after_their_attempts(platform):
     for engine in lm(platform):
         engine.faults |= {f"{JOBS}never": "422", f"{JOBS}fails": "500"}
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -70,6 +70,11 @@
 HEARTBEAT_ATTEMPT_SECONDS = 0.25
 #: Seconds for a job's commit, and for a read of its results beyond the asked wait.
 JOB_SECONDS = 1.5
+#: Seconds for an answer of the replica in the own data centre, beyond the asked wait; it asks its
+#: leader first.
+NEAR_SECONDS = 0.5
+#: Seconds for which results are read at the leader after that replica has failed.
+FAR_SECONDS = 5.0
 SUCCESS = 200
 #: Ends of a call that are dropped first when log lines have to be.
 ORDINARY_ENDS = frozenset({Event.CALL_ENDED, Event.CALL_CANCELLED})
@@ -153,6 +158,8 @@
             self._dispatcher,
         )
         self._returned = ReturningCallers()
+        self._near = ""
+        self._far_until = float("-inf")
         self._configured = asyncio.Event()
         self._random = random.Random(misc.quick_hash(running.incarnation))
 
@@ -281,10 +288,31 @@
         :raises NotFoundError: if there is no such job.
         :raises UnavailableError: if no leader answered.
         """
+        near = await self._read_nearby(ReadResults(CONTROL_GROUP, job, first, wait, nearby=True))
+        if near is not None:
+            return near
         ask = ReadResults(CONTROL_GROUP, job, first, wait)
         answer: Any = await self.control.ask(ask, wait + JOB_SECONDS, wait)
         return answer
 
+    async def _read_nearby(self, ask: ReadResults) -> ResultsPage | None:
+        """Asks the replica in the own data centre, for results are long and read often."""
+        now = self._clock()
+        if not self._near or now < self._far_until:
+            return None
+        try:
+            answer: Any = await self._process.links.to(self._near).call(
+                ask, ask.wait + NEAR_SECONDS
+            )
+        except NotFoundError:
+            return None
+        except VerbenaError as error:
+            self._far_until = now + FAR_SECONDS
+            logs.info(Event.NEAR_REPLICA_LOST, peer=self._near, error=str(error))
+            return None
+        self._process.metrics.count("results.nearby")
+        return answer
+
     async def read_body(self, job: JobId, item: str) -> bytes:
         """Returns the body of an item.
 
@@ -463,6 +491,7 @@
         elif reply.backends_age >= 0:
             self._list.confirm(read_at)
         self._set_peers(reply.reports_to)
+        self._near = reply.near
 
     def _set_peers(self, leader: str) -> None:
         others: dict[MemberName, Any] = self._view.members
--- a/verbenashore/jobdesk.py
+++ b/verbenashore/jobdesk.py
@@ -15,7 +15,7 @@
 from verbenashore.itemjobs import ItemJob, ResultsPage
 from verbenashore.jobrunner import JobRunner
 from verbenashore.listing import READ_SECONDS, Fetch, ListKeeper
-from verbenashore.messages import HeartbeatReply, ItemBody, ReadItemBody, ReadResults
+from verbenashore.messages import Heartbeat, HeartbeatReply, ItemBody, ReadItemBody, ReadResults
 from verbenashore.prober import Prober
 from verbenashore.process import Process
 from verbenashore.replica import ReplicaRunner
@@ -46,6 +46,7 @@
 
     def __init__(self, running: Process, runner: ReplicaRunner, given: RelaySettings) -> None:
         settings = running.settings
+        self._process = running
         self._given = given
         self._runner = runner
         self._routes = RouteIndex(RouteTable())
@@ -96,21 +97,31 @@
         running.start(self._prober.run())
         running.start(self._read_while_leading())
 
-    def extend(self, reply: HeartbeatReply, known: int, peers: set[str]) -> HeartbeatReply:
+    def extend(
+        self, reply: HeartbeatReply, heartbeat: Heartbeat, peers: set[str]
+    ) -> HeartbeatReply:
         """Returns an answer to a heartbeat with what relaying members need.
 
-        :param known: the version of the list that the member has.
         :param peers: where the other members take reports of load.
         """
         self._gossip.peers = peers
         return msgspec.structs.replace(
             reply,
-            backends=self._list.as_message(known),
+            backends=self._list.as_message(heartbeat.backends_version),
             backends_age=self._list.age,
             ledgers=self._runner.addresses,
             reports_to=self._given.reports,
+            near=self._near(heartbeat.member.data_centre),
         )
 
+    def _near(self, data_centre: str) -> str:
+        """Returns the address of a replica in a data centre, this one if possible."""
+        if data_centre == self._process.settings.data_centre:
+            return self._runner.peer.address
+        links = [self._process.links.to(address) for address in self._runner.addresses]
+        near = (link for link in links if link.data_centre == data_centre and not link.is_silent)
+        return next((link.address for link in near), "")
+
     async def read_results(self, body: ReadResults, check: Callable[[], None]) -> ResultsPage:
         """Returns results, and waits for one if the asker wants that.
 
--- a/verbenashore/ledger.py
+++ b/verbenashore/ledger.py
@@ -6,6 +6,7 @@
 import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
+from typing import Any
 
 from verbenashore import (
     consensus,
@@ -15,6 +16,7 @@
     logs,
     machine,
     members,
+    misc,
     process,
     replication,
     requests,
@@ -22,12 +24,20 @@
 )
 from verbenashore.client import GroupClient
 from verbenashore.consensus import Role
-from verbenashore.exceptions import KeyConflictError, NotFoundError, NotLeaderError, VerbenaError
+from verbenashore.exceptions import (
+    KeyConflictError,
+    NotFoundError,
+    NotLeaderError,
+    UnavailableError,
+    VerbenaError,
+)
 from verbenashore.jobdesk import JobDesk, RelaySettings
 from verbenashore.jobs import ItemViews
 from verbenashore.link import Reply, Server
 from verbenashore.logs import Event
 from verbenashore.messages import (
+    Applied,
+    AskApplied,
     AskIdentity,
     AskRetirement,
     AskStatus,
@@ -81,6 +91,8 @@
 SWEEP_SECONDS = 0.25
 FORM_SECONDS = 0.25
 ASK_SECONDS = 0.5
+#: Seconds in which a replica must have caught up with its leader to answer a read for it.
+CATCH_UP_SECONDS = 0.2
 HAND_OVER_SECONDS = 2.0
 #: Seconds without a leader after which a replica asks whether it is still a member.
 FORGOTTEN_SECONDS = 1.5
@@ -267,6 +279,8 @@
             raise NotFoundError(f"no replica of group {group} here", step="route", not_run=True)
         if isinstance(body, AskIdentity):
             return self._identity(group)
+        if isinstance(body, AskApplied):
+            return Applied(self._serving(group).applied)
         if isinstance(body, JoinGroup):
             return self._on_join(body)
         if isinstance(body, Propose):
@@ -278,13 +292,32 @@
         return self._read(self._serving(group).state, body)
 
     async def _read_item_job(self, body: ReadResults | ReadItemBody) -> Body:
-        runner = self._serving(body.group)
         if self._desk is None:
             raise NotFoundError("this process relays no jobs", step="route")
+        runner = self._runner_by_group[body.group]
+        if isinstance(body, ReadResults) and body.nearby and not runner.serving:
+            await self._catch_up(runner)
+            return await self._desk.read_results(body, lambda: None)
+        runner.check_serving()
         if isinstance(body, ReadResults):
             return await self._desk.read_results(body, runner.check_serving)
         return self._desk.read_body(body)
 
+    async def _catch_up(self, runner: ReplicaRunner) -> None:
+        """Waits until this replica holds all that its leader has acknowledged by now.
+
+        :raises NotLeaderError: if no leader is known.
+        :raises UnavailableError: if that takes too long.
+        """
+        leader = runner.leader_address
+        if not leader:
+            raise NotLeaderError("no leader is known", step="catch-up")
+        answer: Any = await self._process.links.to(leader).call(
+            AskApplied(runner.group), CATCH_UP_SECONDS
+        )
+        late = UnavailableError("this replica is behind", step="catch-up", not_run=True)
+        await misc.within(CATCH_UP_SECONDS, runner.reach(answer.index), late)
+
     async def _on_retirement(self, body: StartRetirement | AskRetirement) -> Retirement:
         """Starts the retirement of a process, or tells how far it is."""
         runner = self._serving(CONTROL_GROUP)
@@ -353,7 +386,7 @@
             for member in self._members.by_name.values()
             if member.role is MemberRole.ENTRY
         }
-        return self._desk.extend(reply, body.backends_version, entries)
+        return self._desk.extend(reply, body, entries)
 
     def _on_join(self, body: JoinGroup) -> Body:
         runner = self._serving(body.group)
--- a/verbenashore/link.py
+++ b/verbenashore/link.py
@@ -99,6 +99,8 @@
         clock: Clock,
     ) -> None:
         self.address = address
+        #: Where the peer runs, by its newest message; "" while it has sent none.
+        self.data_centre = ""
         self._context = context
         self._sender = sender
         self._clock = clock
@@ -178,6 +180,7 @@
             data = await socket.recv()
             self._heard = self._clock()
             envelope = _decoder.decode(data)
+            self.data_centre = envelope.sender.data_centre
             if isinstance(envelope.body, Pong):
                 self._note_epoch(envelope.body.epoch)
                 continue
--- a/verbenashore/messages.py
+++ b/verbenashore/messages.py
@@ -9,6 +9,7 @@
     FileId,
     GroupId,
     JobId,
+    LogIndex,
     MemberName,
     MemberRole,
     MemberState,
@@ -251,6 +252,7 @@
     :param backends_age: seconds since the leader read the list; negative if it never did.
     :param ledgers: the addresses of the group's replicas.
     :param reports_to: where the leader takes reports of load; "" if it takes none.
+    :param near: the address of a replica in the member's data centre; "" if there is none.
     """
 
     change: control.Change | None
@@ -261,6 +263,7 @@
     backends_age: float = -1.0
     ledgers: list[str] = msgspec.field(default_factory=list)
     reports_to: str = ""
+    near: str = ""
 
 
 class ReadVersion(msgspec.Struct, frozen=True, array_like=True, tag="read_version"):
@@ -271,12 +274,26 @@
     """Asks for the results of an item job from a position on.
 
     :param wait: seconds to wait for one if there is none yet.
+    :param nearby: a replica that doesn't lead may answer, too, once it has caught up.
     """
 
     group: GroupId
     job: JobId
     first: int
     wait: float
+    nearby: bool = False
+
+
+class AskApplied(msgspec.Struct, frozen=True, array_like=True, tag="ask_applied"):
+    """Asks a group's leader how far its state is."""
+
+    group: GroupId
+
+
+class Applied(msgspec.Struct, frozen=True, array_like=True, tag="applied"):
+    """Answers :class:`AskApplied`: all that was acknowledged before stands up to this entry."""
+
+    index: LogIndex
 
 
 class ReadItemBody(msgspec.Struct, frozen=True, array_like=True, tag="read_item_body"):
@@ -457,6 +474,8 @@
     | ReadResults
     | itemjobs.ResultsPage
     | ReadItemBody
+    | AskApplied
+    | Applied
     | ItemBody
     | StartRetirement
     | AskRetirement
--- a/verbenashore/replica.py
+++ b/verbenashore/replica.py
@@ -78,10 +78,13 @@
         self._send = send
         self._trace = Path(f"{trace}.{group}") if trace else None
         self.leader_known = asyncio.Event()
+        self._advanced = asyncio.Event()
         self._folder, loaded = storage.open_folder(path)
         if loaded.cut:
             logs.warning(Event.TAIL_CUT, group=group, bytes=loaded.cut)
         self._snapshot = loaded.snapshot
+        #: The last entry that the state holds.
+        self.applied = loaded.snapshot.base.index
         self.state = machine.restore(loaded.snapshot.data, group)
         self.peer = Peer(self._folder.replica_id, own[0], own[1])
         self.core = consensus.new_replica(
@@ -153,6 +156,12 @@
             hint = self.leader_address if self.core.role is not Role.LEADER else ""
             raise NotLeaderError("this replica does not lead", step="serve", peer=hint)
 
+    async def reach(self, index: LogIndex) -> None:
+        """Waits until the state holds all entries up to an index."""
+        while self.applied < index:
+            advanced = self._advanced
+            await advanced.wait()
+
     def take(self, item: Packet | JoinWish) -> None:
         """Puts a message into the inbox."""
         self._inbox.put_nowait(item)
@@ -329,8 +338,14 @@
     def _apply(self, entries: list[LogEntry]) -> None:
         self._apply_each(entries)
         if entries:
+            self._note_applied(entries[-1].index)
             self._tell()
 
+    def _note_applied(self, index: LogIndex) -> None:
+        self.applied = index
+        self._advanced.set()
+        self._advanced = asyncio.Event()
+
     def _apply_each(self, entries: list[LogEntry]) -> None:
         for entry in entries:
             result = None
@@ -357,6 +372,7 @@
             storage.reset_log, self._folder, self._snapshot, list(self.core.entries)
         )
         self.state = machine.restore(request.data, self.group)
+        self._note_applied(request.base.index)
         logs.info(Event.SNAPSHOT_INSTALLED, group=self.group, index=request.base.index)
 
     def _snapshot_if_due(self) -> None:
