Propose a job elsewhere after a quarter of a second

Change: 0.25 s for each replica; while an election goes on the others are asked in turn instead of the one that doesn't answer, for 0.6 s.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -188,14 +188,8 @@
 
 
 def test_results_come_from_the_own_data_centre_and_without_it_from_the_leader(platform):
+    leader = leader_of(platform)
     ledgers = [name for name in platform.ip_by_name if name.startswith("ledger")]
-    elected = [
-        (event["time"], name)
-        for name in ledgers
-        for event in platform.events(name)
-        if event["name"] == "leader_elected"
-    ]
-    leader = max(elected)[1]
     at_leader = platform.zone_of(leader)
     entry = next(n for n in ("entry-0", "entry-1") if platform.zone_of(n) != at_leader)
     near = next(n for n in ledgers if platform.zone_of(n) == platform.zone_of(entry))
@@ -231,6 +225,27 @@
     assert all(r["text"] == text(r["id"]) for r in all_results(platform, "job-cut", 4))
 
 
+def leader_of(platform):
+    """Returns the ledger process that was elected last."""
+    return max(
+        (event["time"], name)
+        for name in platform.ip_by_name
+        if name.startswith("ledger")
+        for event in platform.events(name)
+        if event["name"] == "leader_elected"
+    )[1]
+
+
+def test_a_job_that_comes_as_the_leader_freezes_is_accepted_by_the_next_one(platform):
+    leader = leader_of(platform)
+    platform.signal(leader, signal.SIGSTOP)
+    try:
+        assert submit(platform, "job-frozen", ["frozen-1"]) == 202
+    finally:
+        platform.signal(leader, signal.SIGCONT)
+    assert all_results(platform, "job-frozen", 1)[0]["text"] == text("frozen-1")
+
+
 def test_a_job_that_does_not_fit_is_refused_and_an_ended_one_stops(platform):
     for engine in lm(platform):
         engine.faults[JOBS] = "silent"
--- a/verbenashore/client.py
+++ b/verbenashore/client.py
@@ -18,8 +18,9 @@
 
 ATTEMPT_SECONDS = 0.5
 RETRY_SECONDS = 0.03
-#: Seconds for which a replica that did not answer is not turned to for another's word.
-UNANSWERED_SECONDS = 1.0
+#: Seconds for which a replica that did not answer is not turned to: longer than an election takes,
+#: and no longer, since it may be back and lead again.
+UNANSWERED_SECONDS = 0.6
 
 
 class Links:
@@ -74,12 +75,15 @@
             if self._leader not in addresses:
                 self._leader = addresses[0]
 
-    async def propose(self, command: Command, seconds: float) -> Result:
+    async def propose(
+        self, command: Command, seconds: float, attempt: float = ATTEMPT_SECONDS
+    ) -> Result:
         """Commits a command; it may be sent more than once, so commands must bear that.
 
+        :param attempt: seconds for each replica that is asked.
         :raises UnavailableError: if no leader answered in time; it may be committed or not.
         """
-        answer = await self.ask(Propose(self.group, command), seconds)
+        answer = await self.ask(Propose(self.group, command), seconds, attempt=attempt)
         if not isinstance(answer, Committed):
             raise VerbenaError("unexpected answer", step="propose", peer=self._leader)
         return answer.result
@@ -121,14 +125,17 @@
 
         For a moment after a leader's loss the others still name it.
         """
-        unanswered = self._clock() - self._unanswered_at.get(hint, float("-inf"))
-        if hint and hint != address and unanswered > UNANSWERED_SECONDS:
+        if hint and hint != address and self._is_answering(hint):
             self.add_addresses([hint])
             self._leader = hint
             return True
         self._turn_from(address)
         return False
 
+    def _is_answering(self, address: str) -> bool:
+        unanswered = self._clock() - self._unanswered_at.get(address, float("-inf"))
+        return unanswered > UNANSWERED_SECONDS
+
     def _turn_from(self, address: str) -> None:
         """Looks elsewhere, unless another call has already done so."""
         if self._leader != address:
@@ -136,4 +143,7 @@
         position = self._addresses.index(address) if address in self._addresses else 0
         others = [*self._addresses[position + 1 :], *self._addresses[:position]]
         alive = [other for other in others if not self._links.to(other).is_silent]
-        self._leader = (alive or others or [address])[0]
+        answering = [other for other in alive if self._is_answering(other)]
+        # While an election goes on, the others are asked in turn rather than the one that is gone.
+        also = [address] if self._is_answering(address) else []
+        self._leader = (answering or also or alive or others or [address])[0]
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -75,6 +75,9 @@
 NEAR_SECONDS = 0.5
 #: Seconds for which results are read at the leader after that replica has failed.
 FAR_SECONDS = 5.0
+#: Seconds for each replica that a job is proposed to: a new leader is there 0.4 s after the old one
+#: froze, and callers want a job's acceptance within 0.5 s (scale-2 of hanger-loop).
+JOB_ATTEMPT_SECONDS = 0.25
 SUCCESS = 200
 #: Ends of a call that are dropped first when log lines have to be.
 ORDINARY_ENDS = frozenset({Event.CALL_ENDED, Event.CALL_CANCELLED})
@@ -264,7 +267,7 @@
 
         :raises UnavailableError: if that isn't known; the job may be accepted.
         """
-        result: Any = await self.control.propose(command, JOB_SECONDS)
+        result: Any = await self.control.propose(command, JOB_SECONDS, JOB_ATTEMPT_SECONDS)
         event = Event.JOB_ACCEPTED if result.accepted else Event.JOB_REFUSED
         logs.info(
             event,
