Count what becomes of items at the ledger processes

Change: item_completed, item_failed, item_impossible, item_yielded and item_retried by route, and the seconds that a whole item spent at servers. Test: test_another_leader_goes_on_from_what_was_kept reads one. Ruled out: counting commits as well; the log's events tell them.

--- a/tests/test_jobrunner.py
+++ b/tests/test_jobrunner.py
@@ -25,6 +25,7 @@
     Usual,
     in_order,
 )
+from verbenashore.metrics import Metrics
 from verbenashore.prober import Prober
 from verbenashore.routing import Route, RouteIndex, RouteKind, RouteTable, Share
 
@@ -223,7 +224,7 @@
     return AnswerHead(status, headers, "", False, False)
 
 
-def runner_of(book, server, commit):
+def runner_of(book, server, commit, metrics):
     """Returns a runner that leads."""
     directory = Directory()
     directory.take([server], 0.0)
@@ -247,6 +248,7 @@
         commit,
         lambda: None,
         lambda: 0.0,
+        metrics,
     )
 
 
@@ -275,16 +277,18 @@
         apply = itemjobs.keep if isinstance(command, KeepProgress) else itemjobs.record
         apply(book, command)
 
-    first = asyncio.create_task(runner_of(book, server, commit).run())
+    metrics = Metrics("ledger", ())
+    first = asyncio.create_task(runner_of(book, server, commit, metrics).run())
     await until(lambda: item.events >= 5)
     first.cancel()
     await asyncio.gather(first, return_exceptions=True)
     kept = item.events
-    second = asyncio.create_task(runner_of(book, server, commit).run())
+    second = asyncio.create_task(runner_of(book, server, commit, metrics).run())
     await until(lambda: item.listed)
     second.cancel()
     await asyncio.gather(second, return_exceptions=True)
     listener.close()
+    assert 'name="r.item_completed"} 1' in metrics.as_text()
     return engine, kept, itemjobs.page(book.job_by_id["j"], 0).results
 
 
--- a/verbenashore/jobdesk.py
+++ b/verbenashore/jobdesk.py
@@ -72,6 +72,7 @@
             runner.propose,
             self._on_load,
             lambda: runner.ledger_time,
+            running.metrics,
         )
         self._gossip = Gossip(
             self._board,
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -20,6 +20,7 @@
 from verbenashore.exceptions import BackendBusyError, BackendError, VerbenaError
 from verbenashore.itemjobs import Advanced, Attempt, ItemJob, ItemJobBook, ItemState, Outcome
 from verbenashore.logs import Event
+from verbenashore.metrics import Metrics
 from verbenashore.prober import Prober
 from verbenashore.routing import RouteIndex
 from verbenashore.types import BackendName, Clock, JobId, ServiceName
@@ -186,6 +187,7 @@
     :param routes: returns the routes in force.
     :param commit: records how attempts ended and how far items are.
     :param ledger_time: returns the time that jobs are due by.
+    :param metrics: takes what becomes of the items of each route.
     """
 
     def __init__(
@@ -202,6 +204,7 @@
         commit: Callable[[itemjobs.RecordAttempts | itemjobs.KeepProgress], Any],
         on_load: Callable[[], None],
         ledger_time: Callable[[], float],
+        metrics: Metrics,
     ) -> None:
         self._dialect = dialect
         self._directory = directory
@@ -215,6 +218,7 @@
         self._commit = commit
         self._on_load = on_load
         self._ledger_time = ledger_time
+        self._metrics = metrics
         self._usual = Usual()
         self._run_by_key: dict[ItemKey, Run] = {}
         self._progress_by_key: dict[ItemKey, Progress] = {}
@@ -291,6 +295,7 @@
                     events=self._progress_by_key[run.key].events,
                 )
                 self._stop(run, "yielded")
+                self._metrics.count(f"{jobs[run.key[0]].route}.item_yielded")
                 self._yielded_at[name] = self._clock()
 
     def _stop(self, run: Run, reason: str) -> None:
@@ -390,13 +395,16 @@
         try:
             outcome = await self._attempt(job, run, progress)
         except BackendError as error:
+            self._metrics.count(f"{job.route}.item_retried")
             self._retry(run, progress, error)
             return
         finally:
             progress.note_stop(started, self._clock())
             self._take_off(run)
+        self._metrics.count(f"{job.route}.item_{outcome.value}")
         if outcome is Outcome.COMPLETED:
             self._usual.note(progress)
+            self._metrics.time(f"{job.route}.item_seconds", progress.ran)
         logs.info(Event.ITEM_ENDED, **_names(run), outcome=outcome, events=progress.events)
         try:
             await self._record(job, run.key[1], outcome, progress)
