Tell in the log when an answer began and how long it paused

Lines of a lost near replica named none, since the name had changed meanwhile. Change: call_ended, call_failed and call_cancelled have first and longest_pause; near_replica_lost names the replica that was asked. Test: test_the_log_tells_when_an_answer_began_and_how_long_it_paused.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -77,6 +77,19 @@
     connection.close()
 
 
+def test_the_log_tells_when_an_answer_began_and_how_long_it_paused(platform):
+    platform.call(f"{STREAM}told", "told-1")
+    (ended,) = wait_until(
+        lambda: [
+            event
+            for event in platform.events("entry-0")
+            if event["name"] == "call_ended" and event["call"] == "told-1"
+        ]
+    )
+    assert 0 < ended["first"] <= ended["seconds"]
+    assert 0 < ended["longest_pause"] <= ended["seconds"] - ended["first"]
+
+
 @pytest.mark.parametrize("fault", ["break:5", "silent"])
 def test_a_resumable_stream_goes_on_at_another_engine_without_gap_or_double(platform, fault):
     lm(platform)[0].faults[STREAM] = fault
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -92,6 +92,9 @@
     :param runs: servers that may have run it.
     :param refusals: servers that stated that they did not run it.
     :param last_event: the number of the last event that the caller has.
+    :param first_at: when the first bytes went to the caller.
+    :param passed_at: when the newest ones did.
+    :param longest_pause: the longest time between two of them, in seconds.
     """
 
     call: Call
@@ -103,7 +106,17 @@
     runs: int = 0
     refusals: int = 0
     last_event: int | None = None
-    first_sent_at: float = 0.0
+    first_at: float | None = None
+    passed_at: float = 0.0
+    longest_pause: float = 0.0
+
+    def note_passed(self, now: float) -> None:
+        """Notes that bytes went to the caller."""
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            self.longest_pause = max(self.longest_pause, now - self.passed_at)
+        self.passed_at = now
 
     @property
     def last_attempt(self) -> bool:
@@ -300,18 +313,16 @@
 
     async def _read_nearby(self, ask: ReadResults) -> ResultsPage | None:
         """Asks the replica in the own data centre, for results are long and read often."""
-        now = self._clock()
-        if not self._near or now < self._far_until:
+        near, now = self._near, self._clock()
+        if not near or now < self._far_until:
             return None
         try:
-            answer: Any = await self._process.links.to(self._near).call(
-                ask, ask.wait + NEAR_SECONDS
-            )
+            answer: Any = await self._process.links.to(near).call(ask, ask.wait + NEAR_SECONDS)
         except NotFoundError:
             return None
         except VerbenaError as error:
             self._far_until = now + FAR_SECONDS
-            logs.info(Event.NEAR_REPLICA_LOST, peer=self._near, error=str(error))
+            logs.info(Event.NEAR_REPLICA_LOST, peer=near, error=str(error))
             return None
         self._process.metrics.count("results.nearby")
         return answer
@@ -410,7 +421,6 @@
     async def _attempt(self, relay: Relay, server: BackendEntry) -> None:
         route = relay.route
         left = max(0.001, relay.end_at - self._clock())
-        relay.first_sent_at = relay.first_sent_at or self._clock()
         relay.runs += 1
         silence = left
         if not relay.last_attempt:
@@ -443,6 +453,7 @@
             raise BackendError(f"status {head.status} on resuming", step="head", peer="")
         if head.status in NOT_RUN_STATUSES:
             raise BackendError(f"status {head.status} without a statement", step="head", peer="")
+        relay.note_passed(self._clock())
         await relay.respond.relayed(
             head.status, [*head.headers, (b"content-length", b"%d" % len(body))], body
         )
@@ -459,6 +470,7 @@
                 continue
             if not relay.respond.started:
                 await relay.respond.start_relayed(opened.head.status, opened.head.headers)
+            relay.note_passed(self._clock())
             await relay.respond.chunk(data)
         if resumable and splitter.partial.strip():
             raise BackendError("the last event is cut off", step="events", peer="")
@@ -549,5 +561,7 @@
             refusals=relay.refusals,
             last_event=relay.last_event,
             seconds=round(seconds, 4),
+            first=None if relay.first_at is None else round(relay.first_at - relay.arrived_at, 4),
+            longest_pause=round(relay.longest_pause, 4),
             **fields,
         )
