Keep the ports of a test deployment reserved until it stops

The log of its entry-1 ends with "Address already in use": its port had been asked of the kernel and given back, and a connection got it before the entry did. Change: the fleet holds a bound socket on each of its ports that doesn't listen; servers bind beside it.

--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -25,11 +25,16 @@
 STOP_SECONDS = 30.0
 
 
-def free_address() -> str:
-    """Returns a loopback address whose port the kernel has just given out."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+def reserve_address() -> tuple[str, socket.socket]:
+    """Returns a loopback address, and the socket that keeps its port from everybody else.
+
+    A port that was only asked for and given back may be the next one that the kernel chooses for a
+    connection.  The socket doesn't listen, so that a server may still bind the address.
+    """
+    held = socket.socket()
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.bind(("127.0.0.1", 0))
+    return f"127.0.0.1:{held.getsockname()[1]}", held
 
 
 def wait_until(condition: Callable[[], Any], seconds: float, what: str) -> Any:
@@ -64,6 +69,7 @@
         spawn: Callable[[str, list[str]], None] | None = None,
     ) -> None:
         self._spawn = spawn or self._start_process
+        self._held: list[socket.socket] = []
         self.relay_by_name: dict[str, str] = {}
         self.folder = Path(tempfile.mkdtemp(prefix="verbena-"))
         self.process_by_name: dict[str, subprocess.Popen[bytes]] = {}
@@ -77,13 +83,19 @@
         self.ledger_names = [f"ledger-{number + 1}" for number in range(ledgers)]
         self.entry_names = [f"entry-{number + 1}" for number in range(entries)]
         for name in (*self.ledger_names, *self.entry_names):
-            self.address_by_name[name] = free_address()
+            self.address_by_name[name] = self._free_address()
+
+    def _free_address(self) -> str:
+        """Returns an address that is this fleet's until it stops."""
+        address, held = reserve_address()
+        self._held.append(held)
+        return address
 
     def _with_addresses(self, text: str) -> str:
         """Gives each backend server of a file an address of the kernel's choice."""
 
         def replace(match: re.Match[str]) -> str:
-            address = free_address()
+            address = self._free_address()
             self.address_by_name[match[1]] = address
             return f'name = "{match[1]}"\naddress = "{address}"'
 
@@ -157,7 +169,7 @@
     def start_agent(self, backend: Backend, name: str = "", *extra: str) -> None:
         """Starts the agent of one backend server."""
         name = name or f"agent-{backend.name}"
-        self.address_by_name.setdefault(name, free_address())
+        self.address_by_name.setdefault(name, self._free_address())
         command = self._program("agent", name, backend.data_centre)
         command += ["--backend", backend.name, "--ledgers", self.ledgers, *extra]
         command += ["--policy", self._policy, *self._advertised(name)]
@@ -165,7 +177,7 @@
 
     def start_ledger(self, name: str, *extra: str) -> None:
         """Starts one ledger process."""
-        self.address_by_name.setdefault(name, free_address())
+        self.address_by_name.setdefault(name, self._free_address())
         command = self._program("ledger", name, f"dc-{name}")
         command += ["--data", str(self.folder / name), "--initial", self.initial]
         if self._trace:
@@ -181,7 +193,7 @@
 
     def start_platform(self) -> str:
         """Starts the platform's stand-in and returns its address."""
-        address = free_address()
+        address = self._free_address()
         self.spawn("platform", [sys.executable, "-m", "standins.platform", "--listen", address])
         wait_until(
             lambda: Client(address, "").ask_json("GET", "/instances") == [], START_SECONDS, "list"
@@ -193,8 +205,8 @@
 
         A process that is started later tells others that address instead of its own.
         """
-        target = self.address_by_name.setdefault(name, free_address())
-        public, control = free_address(), free_address()
+        target = self.address_by_name.setdefault(name, self._free_address())
+        public, control = self._free_address(), self._free_address()
         self.relay_by_name[name] = control
         command = [sys.executable, "-m", "standins.relay", "--listen", public]
         self.spawn(f"relay-{name}", [*command, "--target", target, "--control", control])
@@ -298,6 +310,8 @@
                 process.kill()
         for process in self.process_by_name.values():
             process.wait(STOP_SECONDS)
+        for held in self._held:
+            held.close()
 
     def __enter__(self) -> "Fleet":
         try:
