Log answers that come too late, and what reading a configuration took

Four entries lost their leader for good while bytes kept coming from it; the logs could not tell an answer that was too long in coming from one that was never sent, nor a slow line from a slow reader. answer_late tells the message, its bytes and its age; configuration_installed the bytes of the text and the seconds that reading it took. At most 100 calls that were given up are remembered.

--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,56 @@
+"""Links between processes whose peers or lines are slow."""
+
+import asyncio
+import time
+
+import pytest
+import zmq.asyncio
+
+from tests.platforms import free_port
+from verbenashore import files, logs
+from verbenashore.exceptions import LinkSilentError
+from verbenashore.link import Link, Server
+from verbenashore.logs import Event
+from verbenashore.messages import AskStatus, Sender
+
+
+def sender():
+    """Returns what a message says of the process of these tests."""
+    return Sender("here", "east", "region", 0)
+
+
+def test_an_answer_that_comes_after_its_call_was_given_up_is_logged(monkeypatch):
+    logged = []
+    monkeypatch.setattr(logs, "info", lambda event, **fields: logged.append((event, fields)))
+
+    async def answer_late(_envelope, reply):
+        await asyncio.sleep(0.2)
+        reply(files.Done(), True)
+
+    async def check():
+        context = zmq.asyncio.Context()
+        address = f"127.0.0.1:{free_port()}"
+        server = Server(context, address, sender, time.monotonic, answer_late)
+        serving = asyncio.create_task(server.run())
+        link = Link(context, address, sender, time.monotonic)
+        # The server gets no word that the call is given up before it has answered.
+        monkeypatch.setattr(server, "_take", ignoring_cancels(server._take))
+        with pytest.raises(LinkSilentError):
+            await link.call(AskStatus(), 0.05)
+        await asyncio.sleep(0.4)
+        await link.close()
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+        context.destroy(linger=0)
+
+    asyncio.run(check())
+    event, fields = logged[-1]
+    assert event is Event.ANSWER_LATE
+    assert fields["message"] == "AskStatus" and fields["bytes"] > 0 and fields["age"] > 0.15
+
+
+def ignoring_cancels(take):
+    """Returns a server's handler of messages that misses those that cancel a call."""
+    return lambda peer, envelope: (
+        None if type(envelope.body).__name__ == "CancelCall" else take(peer, envelope)
+    )
--- a/verbenashore/link.py
+++ b/verbenashore/link.py
@@ -34,6 +34,9 @@
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 100
 
+#: Calls given up that are remembered, so that an answer that comes too late can be told from none.
+MAX_GIVEN_UP = 100
+
 _decoder = msgspec.msgpack.Decoder(Envelope)
 _encoder = msgspec.msgpack.Encoder()
 
@@ -106,6 +109,7 @@
         self._clock = clock
         self._numbers = itertools.count(1)
         self._answers_by_call: dict[int, asyncio.Queue[Envelope | VerbenaError]] = {}
+        self._given_up_by_call: dict[int, tuple[str, float]] = {}
         self._socket = self._connect()
         self._heard = clock()
         self._epoch = ""
@@ -135,12 +139,14 @@
         number = next(self._numbers)
         queue: asyncio.Queue[Envelope | VerbenaError] = asyncio.Queue()
         self._answers_by_call[number] = queue
-        ended = False
+        ended = answered = False
+        sent_at = self._clock()
         try:
             self._send(number, body)
             while not ended:
                 late = LinkSilentError("no answer in time", step="call", peer=self.address)
                 answer = await misc.within(seconds, queue.get(), late)
+                answered = True
                 if isinstance(answer, VerbenaError):
                     raise answer
                 ended = answer.last
@@ -149,6 +155,8 @@
                 yield answer.body
         finally:
             del self._answers_by_call[number]
+            if not answered:
+                self._note_given_up(number, body, sent_at)
             if not ended:
                 self._send(number, CancelCall())
 
@@ -187,6 +195,21 @@
             queue = self._answers_by_call.get(envelope.call)
             if queue is not None:
                 queue.put_nowait(envelope)
+            elif envelope.call in self._given_up_by_call:
+                message, sent_at = self._given_up_by_call.pop(envelope.call)
+                age = round(self._heard - sent_at, 4)
+                logs.info(
+                    Event.ANSWER_LATE,
+                    peer=self.address,
+                    message=message,
+                    bytes=len(data),
+                    age=age,
+                )
+
+    def _note_given_up(self, number: int, body: Body, sent_at: float) -> None:
+        self._given_up_by_call[number] = (type(body).__name__, sent_at)
+        if len(self._given_up_by_call) > MAX_GIVEN_UP:
+            del self._given_up_by_call[next(iter(self._given_up_by_call))]
 
     def _note_epoch(self, epoch: str) -> None:
         """Fails the calls that went to a process or over a connection that is no more."""
--- a/verbenashore/view.py
+++ b/verbenashore/view.py
@@ -126,6 +126,7 @@
     def _install(self, change: Change) -> None:
         if change.revision <= self.revision:
             return
+        started = self._process.clock()
         try:
             parsed = self._parse(change.text)
         except DeploymentError as error:
@@ -134,7 +135,13 @@
         self.change = change
         self.deployment = parsed
         self._process.revision = change.revision
-        logs.info(Event.CONFIGURATION_INSTALLED, revision=change.revision, change=change.change)
+        logs.info(
+            Event.CONFIGURATION_INSTALLED,
+            revision=change.revision,
+            change=change.change,
+            bytes=len(change.text),
+            seconds=round(self._process.clock() - started, 4),
+        )
         # The next heartbeat tells at once that it is in force here.
         self._wake.set()
         self._tell()
