--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,4 +1,4 @@
-"""A TCP relay that can go silent: open connections stall for good while new ones work."""
+"""A TCP relay that can be slow, or go silent: open connections stall while new ones work."""
 
 import argparse
 import asyncio
@@ -7,13 +7,19 @@
 from verbenashore.settings import Address, parse_address
 
 READ_BYTES = 64 << 10
+#: Bytes that a line of limited rate takes at a time.
+SLOW_READ_BYTES = 4 << 10
 
 
 class Relay:
-    """Passes bytes on until it is told to forget the connections it has."""
+    """Passes bytes on until it is told to forget the connections it has.
 
-    def __init__(self, target: Address) -> None:
+    :param rate: bytes a second in each direction of a connection; 0 is no limit.
+    """
+
+    def __init__(self, target: Address, rate: float = 0.0) -> None:
         self._target = target
+        self._rate = rate
         self._open: set[asyncio.Event] = set()
         self.blocked = False
 
@@ -37,7 +43,8 @@
             return
         try:
             await asyncio.gather(
-                _pass_on(reader, far_writer, silent), _pass_on(far_reader, writer, silent)
+                _pass_on(reader, far_writer, silent, self._rate),
+                _pass_on(far_reader, writer, silent, self._rate),
             )
         finally:
             self._open.discard(silent)
@@ -56,12 +63,20 @@
 
 
 async def _pass_on(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, silent: asyncio.Event
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    silent: asyncio.Event,
+    rate: float,
 ) -> None:
+    clock = asyncio.get_running_loop().time
+    free_at = clock()
     with contextlib.suppress(ConnectionError):
-        while data := await reader.read(READ_BYTES):
+        while data := await reader.read(SLOW_READ_BYTES if rate else READ_BYTES):
             if silent.is_set():
                 await asyncio.Event().wait()
+            if rate:
+                free_at = max(free_at, clock()) + len(data) / rate
+                await asyncio.sleep(free_at - clock())
             writer.write(data)
             await writer.drain()
     writer.close()
@@ -73,8 +88,9 @@
     parser.add_argument("--listen", required=True)
     parser.add_argument("--target", required=True)
     parser.add_argument("--control", required=True)
+    parser.add_argument("--rate", type=float, default=0.0, help="bytes a second; 0 is no limit")
     given = parser.parse_args()
-    relay = Relay(parse_address(given.target))
+    relay = Relay(parse_address(given.target), given.rate)
     listen, control = parse_address(given.listen), parse_address(given.control)
     servers = [
         await asyncio.start_server(relay.connected, listen.host, listen.port),
