Let members fetch configurations and lists in parts, apart from their heartbeats

Callers of entries on lines of 15 Mbit/s got 404 for routes in force for seconds (DENIED), answers by old tables (CONFIG), and no place, as their entry heard nothing of the others' load any more.

Cause: a heartbeat's answer carried the configuration, 703,674 bytes after 1,284 routes were added. Every other answer waited behind it.

Heartbeats now tell of versions only. What a member is behind with it fetches by itself in packed parts of 32 KiB: one that came is kept whatever is lost afterwards, a version under way is finished before a newer one, and configurations come from the replica in the own data centre. The lists of members and of backend servers grow with the deployment just so, and go the same way. Configurations are kept packed in the log; what operators sent is kept beside the text, for operators only. (Data folders of earlier builds can't be read.)

--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -4,7 +4,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from tests.group import run_machine
-from verbenashore import control, jobs, machine, requests
+from verbenashore import control, jobs, machine, requests, transfer
 from verbenashore.machine import GroupState
 from verbenashore.types import GroupId, ItemState, JobState, RequestState
 
@@ -347,3 +347,13 @@
     assert asks == [True, True, False]
     ledger.do(machine.ExpireHolder("a"))
     assert ledger.do(control.LoadPermit("c", True, 2)).ok
+
+
+def test_what_an_operator_sent_is_kept_for_reading_back_and_spared_the_members():
+    ledger = Ledger()
+    source = transfer.pack(b"as it was sent")
+    ledger.do(control.ApplyVersion(7, "me", transfer.pack(b"text"), source))
+    change = control.current(ledger.state.control)
+    assert (change.text, transfer.unpack(change.source)) == ("text", b"as it was sent")
+    fetched = control.read_document(control.document(change))
+    assert (fetched.revision, fetched.text, fetched.source) == (7, "text", b"")
--- /dev/null
+++ b/tests/test_transfer.py
@@ -0,0 +1,78 @@
+"""Documents in parts: what slow lines and fast changes make of them."""
+
+import os
+
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from verbenashore import transfer
+from verbenashore.transfer import PART_BYTES, AskPart, Assembly, Document, Shelf
+
+TABLE = Document.CONFIGURATION
+
+
+def content(version):
+    """Returns a document that can't be packed any smaller than several parts."""
+    return b"%d/" % version + os.urandom(3 * PART_BYTES)
+
+
+class Source:
+    """A replica whose document changes."""
+
+    def __init__(self, content_by_version):
+        self.shelf = Shelf()
+        self.newest = 1
+        self.content_by_version = content_by_version
+
+    def answer(self, ask):
+        """Returns the part that a member asked for."""
+        return transfer.part_of(
+            self.shelf, ask, self.newest, lambda: self.content_by_version[self.newest]
+        )
+
+
+def test_a_document_that_changes_with_every_part_still_arrives_whole():
+    source = Source({version: content(version) for version in range(1, 20)})
+    assembly = Assembly()
+    for _ in range(4):
+        ask = transfer.next_ask(assembly, TABLE, source.newest)
+        transfer.take(assembly, source.answer(ask))
+        source.newest += 1
+    assert assembly.complete and assembly.version == 1
+    assert transfer.unpack(bytes(assembly.data)) == source.content_by_version[1]
+
+
+def test_a_version_that_nobody_keeps_any_more_is_given_up_for_the_newest():
+    source = Source({version: content(version) for version in range(1, 40)})
+    assembly = Assembly()
+    transfer.take(assembly, source.answer(AskPart(TABLE, 1)))
+    other = Source(source.content_by_version)
+    other.newest = 9
+    while not assembly.complete:
+        transfer.take(assembly, other.answer(transfer.next_ask(assembly, TABLE, 9)))
+    assert transfer.unpack(bytes(assembly.data)) == source.content_by_version[9]
+
+
+@hypothesis_settings(derandomize=True, database=None, deadline=None, max_examples=60)
+@given(
+    st.lists(st.sampled_from(["ask", "lost", "again", "change"]), max_size=40), st.integers(0, 9)
+)
+def test_lost_doubled_and_stale_parts_never_make_a_wrong_document(steps, seed):
+    source = Source({version: bytes([seed]) * version + content(version) for version in range(60)})
+    assembly, newest = Assembly(), None
+    for step in [*steps, *["ask"] * 12]:
+        if step == "change":
+            source.newest += 1
+            continue
+        if step == "again" and newest is not None:
+            transfer.take(assembly, newest)
+            continue
+        part = source.answer(transfer.next_ask(assembly, TABLE, source.newest))
+        if step == "ask":
+            newest = part
+            transfer.take(assembly, part)
+        if assembly.complete:
+            whole = transfer.unpack(bytes(assembly.data))
+            assert whole == source.content_by_version[assembly.version]
+            assembly = Assembly()
--- a/verbenashore/control.py
+++ b/verbenashore/control.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from verbenashore import transfer
 from verbenashore.types import (
     BackendName,
     ChangeId,
@@ -34,11 +35,14 @@
     """Replaces the configuration if its version, which the operator chose, is the highest.
 
     :param author: who sent it.
+    :param packed: its text, as :func:`transfer.pack` gives it.
+    :param source: what the operator sent, for reading back; packed, too.
     """
 
     version: Revision
     author: str
-    text: str
+    packed: bytes
+    source: bytes
 
 
 class RetireReplicas(msgspec.Struct, frozen=True, array_like=True, tag="retire"):
@@ -51,14 +55,21 @@
 class Change(msgspec.Struct, frozen=True, array_like=True, tag="change"):
     """One revision of the configuration.
 
-    :param index: its position in the log.
+    :param packed: its text, as :func:`transfer.pack` gives it.
+    :param source: what the operator sent if that isn't the text itself; packed, too.
     """
 
     revision: Revision
     change: ChangeId
     author: str
-    text: str
+    packed: bytes
     drained: list[MemberName]
+    source: bytes = b""
+
+    @property
+    def text(self) -> str:
+        """The configuration as members read it."""
+        return transfer.unpack(self.packed).decode() if self.packed else ""
 
 
 class ChangeResult(msgspec.Struct, frozen=True, array_like=True, tag="change_result"):
@@ -131,7 +142,17 @@
     """Returns the change that is in force."""
     if state.history:
         return state.history[-1]
-    return Change(Revision(0), ChangeId(""), "", "", [])
+    return Change(Revision(0), ChangeId(""), "", b"", [])
+
+
+def document(change: Change) -> bytes:
+    """Returns a change as members fetch it, without what only operators read."""
+    return msgspec.msgpack.encode(msgspec.structs.replace(change, source=b""))
+
+
+def read_document(data: bytes) -> Change:
+    """Returns the change that :func:`document` wrote."""
+    return msgspec.msgpack.decode(data, type=Change)
 
 
 def apply_change(state: ControlState, command: ApplyChange) -> ChangeResult:
@@ -144,7 +165,8 @@
     if command.expected != now.revision:
         return ChangeResult(False, now.revision, now.change)
     revision = Revision(now.revision + 1)
-    made = Change(revision, command.change, command.author, command.text, command.drained)
+    packed = transfer.pack(command.text.encode())
+    made = Change(revision, command.change, command.author, packed, command.drained)
     state.history.append(made)
     state.applied_by_change[command.change] = AppliedChange(revision, command.content)
     del state.history[:-KEPT_REVISIONS]
@@ -159,7 +181,7 @@
     if command.version <= now.revision:
         return ChangeResult(False, now.revision, now.change)
     change = ChangeId(f"version-{command.version}")
-    made = Change(command.version, change, command.author, command.text, [])
+    made = Change(command.version, change, command.author, command.packed, [], command.source)
     state.history.append(made)
     del state.history[:-KEPT_VERSIONS]
     return ChangeResult(True, command.version, change)
--- a/verbenashore/directory.py
+++ b/verbenashore/directory.py
@@ -21,16 +21,6 @@
     leaving: bool
 
 
-class BackendList(msgspec.Struct, frozen=True, array_like=True):
-    """What one read of the list gave.
-
-    :param version: rises with every change, under whoever read it.
-    """
-
-    version: int
-    entries: list[BackendEntry]
-
-
 class Change(msgspec.Struct, frozen=True):
     """What a read of the list changed."""
 
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -36,6 +36,7 @@
 from verbenashore.process import Process
 from verbenashore.returning import ReturningCallers
 from verbenashore.routing import Route, RouteIndex, RouteKind, RouteTable
+from verbenashore.transfer import Document
 from verbenashore.types import (
     CONTROL_GROUP,
     BackendName,
@@ -150,6 +151,7 @@
         )
         self._view.on_change.append(self._on_change)
         self._view.on_reply.append(self._on_reply)
+        self._view.fetcher.on_document(Document.BACKENDS, self._take_backends)
         self._board = LoadBoard()
         self._directory = Directory()
         self._dispatcher = Dispatcher(
@@ -175,6 +177,7 @@
         )
         self._returned = ReturningCallers()
         self._near = ""
+        self._list_read_at = float("-inf")
         self._far_until = float("-inf")
         self._configured = asyncio.Event()
         self._random = random.Random(misc.quick_hash(running.incarnation))
@@ -499,15 +502,16 @@
             await asyncio.sleep(LIST_LOOK_SECONDS * self._random.uniform(0.5, 1.5))
 
     def _on_reply(self, reply: HeartbeatReply) -> None:
-        read_at = self._clock() - reply.backends_age
-        if reply.backends is not None:
-            self._view.backends_version = reply.backends.version
-            self._list.take(reply.backends.entries, read_at)
-        elif reply.backends_age >= 0:
-            self._list.confirm(read_at)
+        if reply.backends_version >= 0:
+            self._list_read_at = self._clock() - reply.backends_age
+            if reply.backends_version == self._view.fetcher.held(Document.BACKENDS):
+                self._list.confirm(self._list_read_at)
         self._set_peers(reply.reports_to)
         self._near = reply.near
 
+    def _take_backends(self, _version: int, data: bytes) -> None:
+        self._list.take_document(data, self._list_read_at)
+
     def _set_peers(self, leader: str) -> None:
         others: dict[MemberName, Any] = self._view.members
         peers = {member.address for member in others.values() if member.role is MemberRole.ENTRY}
--- a/verbenashore/jobdesk.py
+++ b/verbenashore/jobdesk.py
@@ -98,6 +98,15 @@
         running.start(self._prober.run())
         running.start(self._read_while_leading())
 
+    @property
+    def backends_version(self) -> int:
+        """The version of the list of backend servers; negative if there is none."""
+        return self._list.version
+
+    def backends_document(self) -> bytes:
+        """Returns the list of backend servers as members fetch it."""
+        return self._list.document()
+
     def extend(
         self, reply: HeartbeatReply, heartbeat: Heartbeat, peers: set[str]
     ) -> HeartbeatReply:
@@ -108,7 +117,7 @@
         self._gossip.peers = peers
         return msgspec.structs.replace(
             reply,
-            backends=self._list.as_message(heartbeat.backends_version),
+            backends_version=self._list.version,
             backends_age=self._list.age,
             ledgers=self._runner.addresses,
             reports_to=self._given.reports,
--- a/verbenashore/ledger.py
+++ b/verbenashore/ledger.py
@@ -21,6 +21,7 @@
     replication,
     requests,
     settings,
+    transfer,
 )
 from verbenashore.client import GroupClient
 from verbenashore.consensus import Role
@@ -77,6 +78,7 @@
 from verbenashore.replica import JoinWish, ReplicaRunner
 from verbenashore.replication import Packet, Peer
 from verbenashore.settings import Address, Setting
+from verbenashore.transfer import AskPart, Document, Part, Shelf
 from verbenashore.types import (
     CONTROL_GROUP,
     GroupId,
@@ -197,6 +199,7 @@
         self.known_seeds = set(self.seeds)
         self._members = members.MemberTable()
         self._members_term = -1
+        self._shelf_by_document = {document: Shelf() for document in Document}
         self._address_by_replica: dict[ReplicaId, str] = {}
         own = (running.name, settings.advertised(self._settings))
         timing = replication.scaled(self._settings.election, self._settings.replace_after)
@@ -264,6 +267,8 @@
             return self._status()
         if isinstance(body, Heartbeat):
             return self._on_heartbeat(body)
+        if isinstance(body, AskPart):
+            return self._part(body)
         if isinstance(body, ListMembers):
             self._serving(CONTROL_GROUP)
             return Members(list(self._members.by_name.values()))
@@ -373,12 +378,10 @@
     def _on_heartbeat(self, body: Heartbeat) -> Body:
         runner = self._serving(CONTROL_GROUP)
         now = self._clock()
-        if self._members_term != runner.core.hard.term:
-            self._members_term = runner.core.hard.term
-            self._members = members.new_table(self._members_term, now)
+        table = self._member_table(runner)
         self._sessions(CONTROL_GROUP).renew(MemberName(body.member.incarnation), now)
         change = control.current(runner.state.control)
-        reply = members.heard(self._members, body, change, now)
+        reply = members.heard(table, body, change, now)
         if self._desk is None:
             return reply
         entries = {
@@ -388,6 +391,37 @@
         }
         return self._desk.extend(reply, body, entries)
 
+    def _member_table(self, runner: ReplicaRunner) -> members.MemberTable:
+        """Returns the members of the leader's term; a new leader begins anew."""
+        if self._members_term != runner.core.hard.term:
+            self._members_term = runner.core.hard.term
+            self._members = members.new_table(self._members_term, self._clock())
+        return self._members
+
+    def _part(self, ask: AskPart) -> Part:
+        """Returns a part of what members fetch.
+
+        :raises UnavailableError: if this replica is behind the configuration that is wanted.
+        :raises NotLeaderError: if only the leader has what is wanted.
+        """
+        shelf = self._shelf_by_document[ask.document]
+        if ask.document is Document.CONFIGURATION:
+            runner = self._runner_by_group.get(CONTROL_GROUP)
+            if runner is None:
+                raise NotLeaderError("no replica of the control group here", step="route")
+            change = control.current(runner.state.control)
+            if change.revision < ask.version:
+                raise UnavailableError("this replica is behind", step="fetch", not_run=True)
+            return transfer.part_of(shelf, ask, change.revision, lambda: control.document(change))
+        serving = self._serving(CONTROL_GROUP)
+        if ask.document is Document.MEMBERS:
+            table = self._member_table(serving)
+            return transfer.part_of(shelf, ask, table.version, lambda: members.document(table))
+        if self._desk is None or self._desk.backends_version < 0:
+            raise UnavailableError("there is no list", step="fetch", not_run=True)
+        desk = self._desk
+        return transfer.part_of(shelf, ask, desk.backends_version, desk.backends_document)
+
     def _on_join(self, body: JoinGroup) -> Body:
         runner = self._serving(body.group)
         runner.take(JoinWish(body.peer))
--- a/verbenashore/listing.py
+++ b/verbenashore/listing.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
 from verbenashore import logs
-from verbenashore.directory import BackendEntry, BackendList, Directory
+from verbenashore.directory import BackendEntry, Directory
 from verbenashore.dispatch import Dispatcher
 from verbenashore.exceptions import VerbenaError
 from verbenashore.logs import Event
@@ -43,12 +45,18 @@
         read_at = self._directory.read_at
         return self._clock() - read_at if read_at > float("-inf") else -1.0
 
-    def as_message(self, known: int) -> BackendList | None:
-        """Returns the list for a member that knows some version, or None if it is up to date."""
-        version = self._directory.version
-        if known == version or self.age < 0:
-            return None
-        return BackendList(version, list(self._directory.by_name.values()))
+    @property
+    def version(self) -> int:
+        """The version of the known list, under whoever read it; negative if there is none."""
+        return self._directory.version if self.age >= 0 else -1
+
+    def document(self) -> bytes:
+        """Returns the list as members fetch it."""
+        return msgspec.msgpack.encode(list(self._directory.by_name.values()))
+
+    def take_document(self, data: bytes, read_at: float) -> None:
+        """Takes in a list that :meth:`document` wrote."""
+        self.take(msgspec.msgpack.decode(data, type=list[BackendEntry]), read_at)
 
     def take(self, entries: list[BackendEntry], read_at: float) -> None:
         """Takes in a list that was read here or elsewhere."""
--- a/verbenashore/members.py
+++ b/verbenashore/members.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from verbenashore.control import Change
-from verbenashore.messages import Heartbeat, HeartbeatReply, Member
+from verbenashore.messages import Heartbeat, HeartbeatReply, LiveMembers, Member
 from verbenashore.types import MemberName, MemberState
 
 LOST_SECONDS = 2.5
@@ -15,10 +15,12 @@
 
     :param version: rises with each change that other members must learn of.
     :param complete_at: when everybody alive must have been heard.
+    :param complete: true once that time has come.
     """
 
     version: int = 0
     complete_at: float = 0.0
+    complete: bool = False
     by_name: dict[MemberName, Member] = msgspec.field(default_factory=dict)
     heard_by_name: dict[MemberName, float] = msgspec.field(default_factory=dict)
 
@@ -29,21 +31,22 @@
 
 
 def heard(table: MemberTable, heartbeat: Heartbeat, change: Change, now: float) -> HeartbeatReply:
-    """Notes a heartbeat and returns what its member doesn't know yet."""
+    """Notes a heartbeat and returns which versions there are of what its member fetches."""
     member = _as_ordered(heartbeat.member, change)
     known = table.by_name.get(member.name)
     table.by_name[member.name] = member
     table.heard_by_name[member.name] = now
     if known is None or _visible(known) != _visible(member):
         table.version += 1
-    behind = heartbeat.member.revision < change.revision
-    stale = heartbeat.members_version != table.version
-    return HeartbeatReply(
-        change if behind else None,
-        table.version,
-        list(table.by_name.values()) if stale else None,
-        now >= table.complete_at,
-    )
+    if not table.complete and now >= table.complete_at:
+        table.complete = True
+        table.version += 1
+    return HeartbeatReply(change.revision, table.version)
+
+
+def document(table: MemberTable) -> bytes:
+    """Returns the list as members fetch it."""
+    return msgspec.msgpack.encode(LiveMembers(list(table.by_name.values()), table.complete))
 
 
 def drop_lost(table: MemberTable, now: float) -> list[Member]:
--- a/verbenashore/messages.py
+++ b/verbenashore/messages.py
@@ -2,8 +2,7 @@
 
 import msgspec
 
-from verbenashore import control, files, itemjobs, jobs, machine, replication, requests
-from verbenashore.directory import BackendList
+from verbenashore import control, files, itemjobs, jobs, machine, replication, requests, transfer
 from verbenashore.types import (
     BackendName,
     FileId,
@@ -231,41 +230,42 @@
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="heartbeat"):
-    """Tells the control group's leader that a member lives.
-
-    :param members_version: the member list that it knows.
-    :param backends_version: the list of backend servers that it knows.
-    """
+    """Tells the control group's leader that a member lives."""
 
     member: Member
-    members_version: int
-    backends_version: int = -1
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, array_like=True, tag="heartbeat_reply"):
-    """Answers :class:`Heartbeat`.
+    """Answers :class:`Heartbeat`; what the member is behind with, it fetches on its own.
 
-    :param change: the configuration, if the member is behind.
-    :param members: the live members, if the list changed.
-    :param complete: false while a new leader has not heard everybody yet.
-    :param backends: the backend servers, if the list changed.
+    :param revision: the configuration that is in force.
+    :param members_version: the list of the live members.
+    :param backends_version: the list of backend servers; negative if there is none.
     :param backends_age: seconds since the leader read the list; negative if it never did.
     :param ledgers: the addresses of the group's replicas.
     :param reports_to: where the leader takes reports of load; "" if it takes none.
     :param near: the address of a replica in the member's data centre; "" if there is none.
     """
 
-    change: control.Change | None
+    revision: Revision
     members_version: int
-    members: list[Member] | None
-    complete: bool
-    backends: BackendList | None = None
+    backends_version: int = -1
     backends_age: float = -1.0
     ledgers: list[str] = msgspec.field(default_factory=list)
     reports_to: str = ""
     near: str = ""
 
 
+class LiveMembers(msgspec.Struct, frozen=True, array_like=True):
+    """The list of members that members fetch.
+
+    :param complete: false while a new leader has not heard everybody yet.
+    """
+
+    members: list[Member]
+    complete: bool
+
+
 class ReadVersion(msgspec.Struct, frozen=True, array_like=True, tag="read_version"):
     """Asks the control group's leader for the configuration that is in force."""
 
@@ -471,6 +471,8 @@
     | HeartbeatReply
     | ReadVersion
     | control.Change
+    | transfer.AskPart
+    | transfer.Part
     | ReadResults
     | itemjobs.ResultsPage
     | ReadItemBody
--- a/verbenashore/routing.py
+++ b/verbenashore/routing.py
@@ -99,14 +99,12 @@
     """One version of the routes, services and limits, applied as a whole.
 
     :param version: chosen by the operator; the highest is in force.
-    :param source: what the operator sent, for reading back.
     """
 
     version: int = 0
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
     limits: CallerLimits = CallerLimits()
-    source: bytes = b""
 
 
 _decoder = msgspec.json.Decoder(RouteTable)
