Call no route missing by a configuration that may be old

Callers of routes in force got 404 and did not come back: entries answered by whatever table they held, also seconds after their last answered heartbeat, or when it had named a newer version.

An entry now says 404 only if a heartbeat was confirmed within 1.5 s (a configuration that is acknowledged meanwhile need not be in force yet) and named no newer version than its own. Else the call is refused as not ready, with a time to return; one that has returned waits for the next news.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -65,6 +65,21 @@
     assert status == 400 and b"last-event-id" in body
 
 
+def test_an_entry_that_hears_no_leader_tells_nobody_that_a_route_is_missing(platform):
+    ledgers = [name for name in platform.ip_by_name if name.startswith("ledger")]
+    for name in ledgers:
+        platform.signal(name, signal.SIGSTOP)
+    try:
+        time.sleep(2.0)
+        status, headers, _ = platform.call("/nowhere/a", "unsure")
+        assert status == 503 and 0 < float(headers["retry-after"]) < 5
+        assert platform.call(f"{LOOKUP}a", "known")[0] == 200
+    finally:
+        for name in ledgers:
+            platform.signal(name, signal.SIGCONT)
+    wait_until(lambda: platform.call("/nowhere/a", "sure")[0] == 404)
+
+
 def test_events_reach_the_caller_as_they_come(platform):
     connection = socket.create_connection(platform.address("entry-0", 20).split(":"))
     request = f"POST {STREAM}a HTTP/1.1\r\nHost: {HOST}\r\nX-Verbenashore-Request-Id: live\r\n"
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -179,7 +179,7 @@
         self._near = ""
         self._list_read_at = float("-inf")
         self._far_until = float("-inf")
-        self._configured = asyncio.Event()
+        self._learned = asyncio.Event()
         self._random = random.Random(misc.quick_hash(running.incarnation))
 
     async def run(self, listen: str | socket.socket, handle: httpserver.Handle) -> None:
@@ -210,27 +210,43 @@
 
         :param call: its id, for the logs.
         :param patience: seconds that the caller waits, if it said.
-        :raises OverloadedError: if no configuration is known yet.
-        :raises NotFoundError: if no route has the path.
+        :raises OverloadedError: if its route may be in a configuration that isn't known yet.
+        :raises NotFoundError: if the configuration in force has no route for the path.
         """
         returned = self._returned.note(host, path, patience)
-        if not self.routes.table.version and returned and patience is not None:
-            logs.info(Event.CALL_QUEUED, call=call, outcome="no configuration is known")
+        if returned and patience is not None and (unsure := self._unsure(host, path)):
+            logs.info(Event.CALL_QUEUED, call=call, outcome=unsure)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(patience * LATE_SHARE):
-                    await self._configured.wait()
-        table = self.routes.table
-        if not table.version:
+                    while self._unsure(host, path):
+                        learned = self._learned
+                        await learned.wait()
+        known = {"version": self.routes.table.version, "newest": self._view.newest}
+        if unsure := self._unsure(host, path):
             later = START_SECONDS + START_SPREAD_SECONDS * self._random.random()
-            reason = "no configuration is known"
-            logs.warning(Event.CALL_REFUSED, call=call, outcome=reason, retry_after=round(later, 3))
-            raise OverloadedError(reason, step="place", retry_after=later)
+            logs.warning(
+                Event.CALL_REFUSED, call=call, outcome=unsure, retry_after=round(later, 3), **known
+            )
+            raise OverloadedError(unsure, step="place", retry_after=later)
         route = self.routes.find(host, path)
         if route is None:
-            logs.info(Event.CALL_REFUSED, call=call, outcome="no route", version=table.version)
+            logs.info(Event.CALL_REFUSED, call=call, outcome="no route", **known)
             raise NotFoundError(f"no route for {host}{path}", step="route", not_run=True)
         return route
 
+    def _unsure(self, host: str, path: str) -> str:
+        """Returns why it isn't known whether a path has a route; "" if that is known."""
+        if not self.routes.table.version:
+            return "no configuration is known"
+        if self.routes.find(host, path) is None and not self._view.is_current():
+            return "the configuration may be old"
+        return ""
+
+    def _note_learned(self) -> None:
+        """Lets callers look again who wait to know whether they have a route."""
+        self._learned.set()
+        self._learned = asyncio.Event()
+
     async def relay(self, call: Call, route: Route, respond: Responder) -> None:
         """Answers one online call by a backend server's answer.
 
@@ -508,6 +524,7 @@
                 self._list.confirm(self._list_read_at)
         self._set_peers(reply.reports_to)
         self._near = reply.near
+        self._note_learned()
 
     def _take_backends(self, _version: int, data: bytes) -> None:
         self._list.take_document(data, self._list_read_at)
@@ -534,8 +551,8 @@
         table = self._view.deployment
         if table.version > self.routes.table.version:
             self.routes = RouteIndex(table)
-            self._configured.set()
             self.tuning.limits = table.limits
+        self._note_learned()
         self._set_ready()
 
     def _set_ready(self) -> None:
