Give an attempt at a proposal the time that its bytes take

What callers saw: a large job is never accepted over a slow line, though nothing is wrong; the entry answers that the outcome isn't known, and the line is filled by the same bytes again and again. Cause: an attempt had a fixed time whatever it carries (0.25 s for a job, 0.5 s otherwise), and was begun anew, whole, at the next replica when that was over. Change: GroupClient adds to each attempt what the encoded message takes at a stated lowest rate (transfer.py). A job's whole time allows for two sendings, one to a leader that is lost, and ends before its caller does. Small messages keep their time: 2 kB add 2 ms.

--- a/verbenashore/client.py
+++ b/verbenashore/client.py
@@ -5,6 +5,7 @@
 
 import zmq.asyncio
 
+from verbenashore import transfer
 from verbenashore.exceptions import (
     LinkSilentError,
     NotLeaderError,
@@ -54,10 +55,19 @@
     """A way to whichever replica leads a group.
 
     :param addresses: the ledger processes that may run a replica.
+    :param rate: bytes per second at which messages to them are sure to move.
     """
 
-    def __init__(self, group: GroupId, links: Links, addresses: list[str], clock: Clock) -> None:
+    def __init__(
+        self,
+        group: GroupId,
+        links: Links,
+        addresses: list[str],
+        clock: Clock,
+        rate: float = transfer.LOWEST_BYTES_PER_SECOND,
+    ) -> None:
         self.group = group
+        self._rate = rate
         self._links = links
         self._clock = clock
         self._addresses = addresses
@@ -80,7 +90,7 @@
     ) -> Result:
         """Commits a command; it may be sent more than once, so commands must bear that.
 
-        :param attempt: seconds for each replica that is asked.
+        :param attempt: seconds for each replica that is asked, beside what the bytes take.
         :raises UnavailableError: if no leader answered in time; it may be committed or not.
         """
         answer = await self.ask(Propose(self.group, command), seconds, attempt=attempt)
@@ -94,15 +104,17 @@
         """Asks the leader, and looks for it while there is time.
 
         :param wait: seconds that the leader may take before it answers.
-        :param attempt: seconds for each replica that is asked, beside the wait.
+        :param attempt: seconds for each replica that is asked, beside the wait and what the
+            message's bytes take.
         :raises UnavailableError: if no leader answered in time.
         """
         deadline = self._clock() + seconds
+        limit = attempt + wait + transfer.seconds_for(body, self._rate)
         last: VerbenaError = UnavailableError("no leader", step="ask")
         while (left := deadline - self._clock()) > 0:
             address = self._leader
             try:
-                return await self._links.to(address).call(body, min(attempt + wait, left))
+                return await self._links.to(address).call(body, min(limit, left))
             except NotLeaderError as error:
                 last = error
                 if self._follow(address, error.peer):
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from verbenashore import backendcall, httpserver, itemjobs, logs, misc, routing
+from verbenashore import backendcall, httpserver, itemjobs, logs, misc, routing, transfer
 from verbenashore.backendcall import Call, Dialect, Opened
 from verbenashore.board import LoadBoard, Report
 from verbenashore.client import GroupClient
@@ -69,8 +69,11 @@
 MAX_REFUSALS = 4
 #: Seconds for each replica that a heartbeat is sent to; the answer needs no disk.
 HEARTBEAT_ATTEMPT_SECONDS = 0.25
-#: Seconds for a job's commit, and for a read of its results beyond the asked wait.
+#: Seconds for a job's commit beside what its bytes take, and for a read of its results beyond the
+#: asked wait.
 JOB_SECONDS = 1.5
+#: How often a job can be sent whole in that time: to a leader that is lost, and to the next one.
+JOB_SENDINGS = 2
 #: Seconds for an answer of the replica in the own data centre, beyond the asked wait; it asks its
 #: leader first.
 NEAR_SECONDS = 0.5
@@ -125,6 +128,12 @@
         return not self.route.repeatable or self.runs >= self.route.max_attempts
 
 
+def job_seconds(command: SubmitItemJob, patience: float) -> float:
+    """Returns the seconds for a job's commit; its caller must still be there then."""
+    sending = transfer.seconds_for(command)
+    return min(JOB_SECONDS + JOB_SENDINGS * sending, patience * LATE_SHARE)
+
+
 class Gateway:
     """The relaying side of one entry process.
 
@@ -294,12 +303,14 @@
             raise
         self._log_end(Event.CALL_ENDED, relay, outcome="answered")
 
-    async def submit_job(self, command: SubmitItemJob) -> SubmitResult:
+    async def submit_job(self, command: SubmitItemJob, patience: float) -> SubmitResult:
         """Accepts a job, or says that it doesn't fit.
 
+        :param patience: seconds that the caller waits.
         :raises UnavailableError: if that isn't known; the job may be accepted.
         """
-        result: Any = await self.control.propose(command, JOB_SECONDS, JOB_ATTEMPT_SECONDS)
+        seconds = job_seconds(command, patience)
+        result: Any = await self.control.propose(command, seconds, JOB_ATTEMPT_SECONDS)
         event = Event.JOB_ACCEPTED if result.accepted else Event.JOB_REFUSED
         logs.info(
             event,
--- a/verbenashore/ledger.py
+++ b/verbenashore/ledger.py
@@ -218,7 +218,13 @@
             for group in self._settings.groups
         }
         self._sessions_by_group = {group: Sessions() for group in self._settings.groups}
-        self.control = GroupClient(CONTROL_GROUP, running.links, [own[1]], running.clock)
+        self.control = GroupClient(
+            CONTROL_GROUP,
+            running.links,
+            [own[1]],
+            running.clock,
+            transfer.LEDGER_BYTES_PER_SECOND,
+        )
         self._desk: JobDesk | None = None
         if relay is not None:
             self._desk = JobDesk(running, self._runner_by_group[CONTROL_GROUP], relay)
--- a/verbenashore/transfer.py
+++ b/verbenashore/transfer.py
@@ -1,4 +1,4 @@
-"""Moves documents that grow with the deployment, in parts of bounded size.
+"""How long messages take on slow lines, and documents in parts of bounded size; without I/O.
 
 The load that this answers: members on slow lines, which must hear of their leader while they fetch
 what takes many times longer than a heartbeat.  A part that was fetched is never fetched again, and
@@ -8,6 +8,7 @@
 import zlib
 from collections.abc import Callable
 from enum import Enum
+from typing import Any
 
 import msgspec
 
@@ -23,6 +24,11 @@
     BACKENDS = "backends"
 
 
+#: Bytes per second at which messages are sure to move: half of the slowest line of an entry, of
+#: 15 Mbit/s, which they share with answers to callers.
+LOWEST_BYTES_PER_SECOND = 900_000
+#: The same between ledger processes: half of their slowest line, of 600 Mbit/s.
+LEDGER_BYTES_PER_SECOND = 37_000_000
 #: Bytes of one part: 17 ms on a line of 15 Mbit/s (the slowest of spsc-gj-grown), so that a
 #: heartbeat behind it is not late.
 PART_BYTES = 32 << 10
@@ -31,6 +37,8 @@
 #: Fast compression; tables of routes shrink to a tenth.
 COMPRESSION_LEVEL = 1
 
+_encoder = msgspec.msgpack.Encoder()
+
 
 class AskPart(msgspec.Struct, frozen=True, array_like=True, tag="ask_part"):
     """Asks for a document from a position on.
@@ -79,6 +87,11 @@
         return self.version >= 0 and len(self.data) == self.total
 
 
+def seconds_for(message: Any, rate: float = LOWEST_BYTES_PER_SECOND) -> float:
+    """Returns the seconds that a message takes at some bytes per second."""
+    return len(_encoder.encode(message)) / rate
+
+
 def pack(data: bytes) -> bytes:
     """Returns a document as it travels."""
     return zlib.compress(data, COMPRESSION_LEVEL)
