Read results, bodies and files in pages that fit into an attempt on a slow line

What callers saw: results and bodies of a large job never came over a slow line; each page was given up and asked for again at another replica. Cause: pages of 900,000 bytes, whole bodies and file parts of 512 KiB, with a fixed 0.5 s for each attempt at a read; the same page was then begun anew. Change: a page is what the lowest rate moves in half of that time (225,000 bytes, at least one result). Bodies and outcomes of batches are read by parts whose size the asker names, so that processes of the last version go on getting what they ask for.

--- a/tests/test_slowlines.py
+++ b/tests/test_slowlines.py
@@ -4,12 +4,23 @@
 
 import pytest
 
+from tests.gateways import gateway
 from tests.slowlines import behind_a_slow_line
+from verbenashore import itemjobs, jobs
 from verbenashore.client import GroupClient
 from verbenashore.exceptions import NotLeaderError
 from verbenashore.gateway import JOB_ATTEMPT_SECONDS, LATE_SHARE, job_seconds
-from verbenashore.itemjobs import ItemSpec, SubmitItemJob, SubmitResult
-from verbenashore.messages import Committed
+from verbenashore.itemjobs import (
+    Attempt,
+    ItemJobBook,
+    ItemSpec,
+    Outcome,
+    RecordAttempts,
+    SubmitItemJob,
+    SubmitResult,
+)
+from verbenashore.jobdesk import JobDesk
+from verbenashore.messages import Committed, ReadResults
 
 #: Bytes per second: half of a line of 15 Mbit/s, which answers to callers share.
 RATE = 900_000
@@ -52,3 +63,56 @@
 @pytest.mark.parametrize("patience", [0.5, PATIENCE])
 def test_an_entry_has_given_up_on_a_job_before_its_caller_has(patience):
     assert job_seconds(job(3_000_000), patience) <= patience * LATE_SHARE
+
+
+class Desk:
+    """A ledger process as the reads of one job see it."""
+
+    def __init__(self, state):
+        self._state = state
+
+    def _job(self, _job_id):
+        return self._state
+
+
+async def read_all(size):
+    """Reads a job's results and a body as an entry does."""
+    book = ItemJobBook()
+    whole = job(size)
+    whole.items.append(ItemSpec("whole", "/b/x", [], b"x" * size, 10))
+    itemjobs.submit(book, whole, 0.0)
+    state = book.job_by_id["j"]
+    text = "x" * (size // 10)
+    for item in range(10):
+        itemjobs.record(book, RecordAttempts([Attempt("j", item, Outcome.COMPLETED, text)]))
+
+    async def answer(envelope, reply):
+        ask = envelope.body
+        if isinstance(ask, ReadResults):
+            reply(itemjobs.page(state, ask.first), True)
+        else:
+            reply(JobDesk.read_body(Desk(state), ask), True)
+
+    async with (
+        behind_a_slow_line(RATE, answer, answer) as (_, addresses),
+        gateway(addresses) as entry,
+    ):
+        entry._near = addresses[0]
+        results = []
+        while len(results) < 10:
+            results += (await entry.read_results("j", len(results), 0.0)).results
+        return [result.text for result in results], await entry.read_body("j", "whole")
+
+
+@pytest.mark.parametrize("size", [1_500_000])
+def test_large_results_and_bodies_come_over_a_slow_line(size):
+    texts, body = asyncio.run(read_all(size))
+    assert texts == ["x" * (size // 10)] * 10
+    assert body == b"x" * size
+
+
+def test_a_page_of_outcomes_is_bounded_but_never_empty():
+    items = [jobs.Item(str(n), "m", b"", 0, result=b"x" * 80) for n in range(4)]
+    job_of = jobs.Job(None, items=items)
+    sizes = [len(jobs.item_views(job_of, 0, 3, limit).items) for limit in (0, 10, 100, 200)]
+    assert sizes == [3, 1, 1, 2]
--- a/verbenashore/batches.py
+++ b/verbenashore/batches.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from verbenashore import completions, files, jobs, misc
+from verbenashore import completions, files, jobs, misc, transfer
 from verbenashore.callers import CallerDirectory, idempotency_key
 from verbenashore.client import GroupClient
 from verbenashore.deployment import Workspace
@@ -42,7 +42,8 @@
 FILES_PATH = "/v1/files"
 BATCHES_PATH = "/v1/batches"
 LEDGER_SECONDS = 10.0
-PART_BYTES = 512 << 10
+#: Bytes of one part of a file; what is read in parts that were stored comes over slow lines, too.
+PART_BYTES = transfer.PAGE_BYTES
 CHUNK_ITEMS = 500
 CHUNK_BYTES = 1 << 20
 PAGE_ITEMS = 500
@@ -188,10 +189,14 @@
         self, workspace: Workspace, job: JobView, is_output: bool
     ) -> AsyncIterator[bytes]:
         shard = self._shards.for_id(job.job)
-        for first in range(0, job.total, PAGE_ITEMS):
-            ask = ReadItems(shard.group, workspace.name, job.job, first, PAGE_ITEMS)
+        first = 0
+        while first < job.total:
+            ask = ReadItems(
+                shard.group, workspace.name, job.job, first, PAGE_ITEMS, transfer.PAGE_BYTES
+            )
             page = await shard.ask(ask, LEDGER_SECONDS)
-            assert isinstance(page, ItemViews)
+            assert isinstance(page, ItemViews) and page.items
+            first += len(page.items)
             yield b"".join(
                 _outcome_line(job, item)
                 for item in page.items
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -363,9 +363,14 @@
         :raises NotFoundError: if there is none.
         :raises UnavailableError: if no leader answered.
         """
-        answer: Any = await self.control.ask(ReadItemBody(CONTROL_GROUP, job, item), JOB_SECONDS)
-        assert isinstance(answer, ItemBody)
-        return answer.data
+        data = b""
+        while True:
+            ask = ReadItemBody(CONTROL_GROUP, job, item, len(data), transfer.PAGE_BYTES)
+            answer = await self.control.ask(ask, JOB_SECONDS)
+            assert isinstance(answer, ItemBody)
+            data += answer.data
+            if len(data) >= answer.size:
+                return data
 
     async def _run(self, relay: Relay) -> None:
         while True:
--- a/verbenashore/itemjobs.py
+++ b/verbenashore/itemjobs.py
@@ -9,11 +9,9 @@
 import msgspec
 
 from verbenashore.files import Done
+from verbenashore.transfer import PAGE_BYTES
 from verbenashore.types import JobId
 
-#: Bytes of result texts in one page of results.
-PAGE_BYTES = 900_000
-
 
 class Outcome(Enum):
     """How one attempt at an item ended."""
--- a/verbenashore/jobdesk.py
+++ b/verbenashore/jobdesk.py
@@ -152,14 +152,15 @@
         return itemjobs.page(self._job(body.job), body.first)
 
     def read_body(self, body: ReadItemBody) -> ItemBody:
-        """Returns the body of an item.
+        """Returns the part of an item's body that is asked for.
 
         :raises NotFoundError: if there is none, or its job was ended.
         """
         data = itemjobs.body_of(self._job(body.job), body.item)
         if data is None:
             raise NotFoundError("no such item", step="read", field="id")
-        return ItemBody(data)
+        end = body.first + body.count if body.count else len(data)
+        return ItemBody(data[body.first : end], len(data))
 
     def _job(self, job_id: JobId) -> ItemJob:
         job = self._runner.state.item_jobs.job_by_id.get(job_id)
--- a/verbenashore/jobs.py
+++ b/verbenashore/jobs.py
@@ -387,15 +387,18 @@
     )
 
 
-def item_views(job: Job, first: int, count: int) -> ItemViews:
-    """Returns a page of outcomes."""
-    page = enumerate(job.items[first : first + count], first)
-    return ItemViews(
-        [
+def item_views(job: Job, first: int, count: int, page_bytes: int = 0) -> ItemViews:
+    """Returns a page of outcomes: at least one, and no more than fit into some bytes, if given."""
+    views: list[ItemView] = []
+    size = 0
+    for position, item in enumerate(job.items[first : first + count], first):
+        size += len(item.custom_id) + len(item.result)
+        if views and page_bytes and size > page_bytes:
+            break
+        views.append(
             ItemView(position, item.custom_id, item.state, item.attempt, item.status, item.result)
-            for position, item in page
-        ]
-    )
+        )
+    return ItemViews(views)
 
 
 def _held_by_workspace(book: JobBook) -> dict[WorkspaceId, int]:
--- a/verbenashore/ledger.py
+++ b/verbenashore/ledger.py
@@ -464,7 +464,7 @@
     def _read_job(self, job: jobs.Job, body: ReadJob | ReadItems) -> Body:
         if isinstance(body, ReadJob):
             return jobs.job_view(job)
-        views: ItemViews = jobs.item_views(job, body.first, body.count)
+        views: ItemViews = jobs.item_views(job, body.first, body.count, body.page_bytes)
         return views
 
     def _identity(self, group: GroupId) -> Identity:
--- a/verbenashore/messages.py
+++ b/verbenashore/messages.py
@@ -145,13 +145,17 @@
 
 
 class ReadItems(msgspec.Struct, frozen=True, array_like=True, tag="read_items"):
-    """Asks for a page of a job's outcomes."""
+    """Asks for a page of a job's outcomes.
+
+    :param page_bytes: bytes of outcomes after which the page ends; 0 means no limit.
+    """
 
     group: GroupId
     workspace: WorkspaceId
     job: JobId
     first: int
     count: int
+    page_bytes: int = 0
 
 
 class ReadFile(msgspec.Struct, frozen=True, array_like=True, tag="read_file"):
@@ -297,17 +301,27 @@
 
 
 class ReadItemBody(msgspec.Struct, frozen=True, array_like=True, tag="read_item_body"):
-    """Asks for the body of an item."""
+    """Asks for the body of an item, or for a part of it.
+
+    :param first: the position of the part's first byte.
+    :param count: how many bytes; 0 means all that follow.
+    """
 
     group: GroupId
     job: JobId
     item: str
+    first: int = 0
+    count: int = 0
 
 
 class ItemBody(msgspec.Struct, frozen=True, array_like=True, tag="item_body"):
-    """The body of an item."""
+    """The body of an item, or the part of it that was asked for.
+
+    :param size: bytes of the whole body; -1 from a version that sends bodies whole.
+    """
 
     data: bytes
+    size: int = -1
 
 
 class StartRetirement(msgspec.Struct, frozen=True, array_like=True, tag="start_retirement"):
--- a/verbenashore/transfer.py
+++ b/verbenashore/transfer.py
@@ -29,6 +29,10 @@
 LOWEST_BYTES_PER_SECOND = 900_000
 #: The same between ledger processes: half of their slowest line, of 600 Mbit/s.
 LEDGER_BYTES_PER_SECOND = 37_000_000
+#: Seconds that one page of a longer answer may take: half of the shortest time for a read.
+PAGE_SECONDS = 0.25
+#: Bytes of one page.
+PAGE_BYTES = int(PAGE_SECONDS * LOWEST_BYTES_PER_SECOND)
 #: Bytes of one part: 17 ms on a line of 15 Mbit/s (the slowest of spsc-gj-grown), so that a
 #: heartbeat behind it is not late.
 PART_BYTES = 32 << 10
