Give a replica that is asked again twice the time it had before

What callers saw: the history of the configuration, or any answer that is larger than an attempt moves and can't be paged, never came over a slow line. Cause: how large an answer is isn't known when it is asked for; each attempt had the same time, and began the same transfer anew. Change: in one call to a group, the time for each replica doubles after it did not answer. The first attempt at each is as short as before, so a lost leader is noticed as fast.

--- a/tests/test_slowlines.py
+++ b/tests/test_slowlines.py
@@ -7,7 +7,9 @@
 from tests.gateways import gateway
 from tests.slowlines import behind_a_slow_line
 from verbenashore import itemjobs, jobs
+from verbenashore.admin import CONTROL_SECONDS
 from verbenashore.client import GroupClient
+from verbenashore.control import Change
 from verbenashore.exceptions import NotLeaderError
 from verbenashore.gateway import JOB_ATTEMPT_SECONDS, LATE_SHARE, job_seconds
 from verbenashore.itemjobs import (
@@ -20,7 +22,7 @@
     SubmitResult,
 )
 from verbenashore.jobdesk import JobDesk
-from verbenashore.messages import Committed, ReadResults
+from verbenashore.messages import Committed, History, ReadHistory, ReadResults
 
 #: Bytes per second: half of a line of 15 Mbit/s, which answers to callers share.
 RATE = 900_000
@@ -111,6 +113,23 @@
     assert body == b"x" * size
 
 
+async def read_history(size):
+    """Reads the revisions of the configuration as an operator's request does."""
+    changes = [Change(n, f"c-{n}", "a", "x" * (size // 3), []) for n in range(3)]
+
+    async def answer(envelope, reply):
+        reply(History(changes), True)
+
+    async with behind_a_slow_line(RATE, answer, follow, follow) as (links, addresses):
+        client = GroupClient(0, links, addresses, asyncio.get_running_loop().time)
+        answer = await client.ask(ReadHistory(), CONTROL_SECONDS)
+        return len(answer.changes)
+
+
+def test_an_answer_that_is_longer_than_a_page_comes_over_a_slow_line():
+    assert asyncio.run(read_history(900_000)) == 3
+
+
 def test_a_page_of_outcomes_is_bounded_but_never_empty():
     items = [jobs.Item(str(n), "m", b"", 0, result=b"x" * 80) for n in range(4)]
     job_of = jobs.Job(None, items=items)
--- a/verbenashore/client.py
+++ b/verbenashore/client.py
@@ -1,6 +1,7 @@
 """Calls to the leader of a replicated group, wherever it is."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 import zmq.asyncio
@@ -103,6 +104,8 @@
     ) -> Body:
         """Asks the leader, and looks for it while there is time.
 
+        A replica that is asked again gets twice the time that it had before.
+
         :param wait: seconds that the leader may take before it answers.
         :param attempt: seconds for each replica that is asked, beside the wait and what the
             message's bytes take.
@@ -110,17 +113,21 @@
         """
         deadline = self._clock() + seconds
         limit = attempt + wait + transfer.seconds_for(body, self._rate)
+        unanswered: Counter[str] = Counter()
         last: VerbenaError = UnavailableError("no leader", step="ask")
         while (left := deadline - self._clock()) > 0:
             address = self._leader
+            # Its answer may be larger than what comes in that time, and would never come.
+            longer = limit * 2 ** unanswered[address]
             try:
-                return await self._links.to(address).call(body, min(limit, left))
+                return await self._links.to(address).call(body, min(longer, left))
             except NotLeaderError as error:
                 last = error
                 if self._follow(address, error.peer):
                     continue
             except LinkSilentError as error:
                 last = error
+                unanswered[address] += 1
                 self._unanswered_at[address] = self._clock()
                 self._turn_from(address)
             except UnavailableError as error:
