Refuse a call as not ready while no list of backend servers was read

Cause: an entry that has read no list yet took that for a list without servers. Change: before the first list a call is treated as before the first configuration: refused at once with the time in which an entry starts, or held if its caller has come back; the log says `no list is known`. The first list wakes those who wait, an empty one too; with that the answer is `no server`. Evidence, test_starting: a held caller is served as soon as the list is there.

--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -61,8 +61,8 @@
 RESUMED_RANK = -1
 #: Longest silence in seconds on a stream that declares no pause.
 DEFAULT_PAUSE_SECONDS = 1.0
-#: Seconds after which an entry that has just started will know its configuration, as callers
-#: are told; spread over the second part so that they don't return at once.
+#: Seconds after which an entry that has just started will know its configuration and the list, as
+#: callers are told; spread over the second part so that they don't return at once.
 START_SECONDS = 0.8
 START_SPREAD_SECONDS = 0.8
 #: Servers that may refuse one call without running it.
@@ -189,6 +189,7 @@
         self._list_read_at = float("-inf")
         self._far_until = float("-inf")
         self._learned = asyncio.Event()
+        self._listed = asyncio.Event()
         self._random = random.Random(misc.quick_hash(running.incarnation))
 
     async def run(self, listen: str | socket.socket, handle: httpserver.Handle) -> None:
@@ -420,8 +421,24 @@
                 raise OutcomeUnknownError("no server took the call", step="place")
             raise OverloadedError("no server took the call", step="place", retry_after=0.5)
 
+    async def _wait_for_list(self, ticket: Ticket) -> None:
+        """Waits for the first list with a caller who has come back.
+
+        :raises OverloadedError: if no list is known; nothing can be said of servers then.
+        """
+        reason = "no list is known"
+        if not self._list.is_known and ticket.patient:
+            logs.info(Event.CALL_QUEUED, call=ticket.id, outcome=reason)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(ticket.end_by - self._clock()):
+                    await self._listed.wait()
+        if not self._list.is_known:
+            later = START_SECONDS + START_SPREAD_SECONDS * self._random.random()
+            raise OverloadedError(reason, step="place", retry_after=later)
+
     async def _place(self, relay: Relay) -> BackendEntry:
         ticket = relay.ticket
+        await self._wait_for_list(ticket)
         decision = self._places.ask(ticket)
         if decision.verdict is Verdict.WAITING:
             logs.info(
@@ -560,6 +577,7 @@
         self._places.wake()
 
     def _on_list(self) -> None:
+        self._listed.set()
         self._places.wake()
         self._set_ready()
 
--- a/verbenashore/listing.py
+++ b/verbenashore/listing.py
@@ -42,8 +42,12 @@
     @property
     def age(self) -> float:
         """Seconds since the newest known list was read; negative if there is none."""
-        read_at = self._directory.read_at
-        return self._clock() - read_at if read_at > float("-inf") else -1.0
+        return self._clock() - self._directory.read_at if self.is_known else -1.0
+
+    @property
+    def is_known(self) -> bool:
+        """True once a list was read, here or elsewhere; it may be empty."""
+        return self._directory.read_at > float("-inf")
 
     @property
     def version(self) -> int:
@@ -60,6 +64,7 @@
 
     def take(self, entries: list[BackendEntry], read_at: float) -> None:
         """Takes in a list that was read here or elsewhere."""
+        is_first = not self.is_known
         change = self._directory.take(entries, read_at)
         if change:
             self._dispatcher.forget([entry.name for entry in change.gone])
@@ -70,6 +75,7 @@
                 gone=[entry.name for entry in change.gone],
                 age=round(self._clock() - read_at, 3),
             )
+        if change or is_first:
             self._on_change()
 
     def confirm(self, read_at: float) -> None:
