Give up no item while the routes are not known yet

What callers would see: an item given up for ever as `route gone`, though its route is in force. Cause: the runner took the empty table of a desk that was told nothing yet for one without routes. Reach: not seen, and by the code not reached today: a leader serves once the first entry of its term is handed out, which is applied, and told to the desk, without a wait in between. The runner now holds that by itself: it starts and gives up nothing before the first table. Evidence: a runner with jobs and the empty table gave the item up.

--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -19,6 +19,21 @@
     return AnswerHead(status, headers, "", False, False)
 
 
+def relay_settings(fetch=None):
+    """Returns what a process needs to relay calls."""
+    return RelaySettings(Dialect(call_headers, read_head), fetch, "127.0.0.1:1")
+
+
+@contextlib.asynccontextmanager
+async def process():
+    """Yields a process without programs."""
+    running = Process(argparse.Namespace(name="e", data_centre="d", region="r", statsd=()))
+    try:
+        yield running
+    finally:
+        await running.close()
+
+
 @contextlib.asynccontextmanager
 async def gateway(seeds=("127.0.0.1:1",), fetch=None):
     """Yields a gateway of which nothing runs yet.
@@ -26,10 +41,5 @@
     :param seeds: the addresses of its ledger processes.
     :param fetch: reads the list of backend servers.
     """
-    settings = argparse.Namespace(name="e", data_centre="d", region="r", statsd=())
-    running = Process(settings)
-    try:
-        given = RelaySettings(Dialect(call_headers, read_head), fetch, "127.0.0.1:1")
-        yield Gateway(running, given, list(seeds))
-    finally:
-        await running.close()
+    async with process() as running:
+        yield Gateway(running, relay_settings(fetch), list(seeds))
--- a/tests/test_jobrunner.py
+++ b/tests/test_jobrunner.py
@@ -16,6 +16,7 @@
     ItemSpec,
     ItemState,
     KeepProgress,
+    Outcome,
     SubmitItemJob,
 )
 from verbenashore.jobrunner import (
@@ -224,8 +225,11 @@
     return AnswerHead(status, headers, "", False, False)
 
 
-def runner_of(book, server, commit, metrics):
-    """Returns a runner that leads."""
+def runner_of(book, server, commit, metrics, routes=None):
+    """Returns a runner that leads.
+
+    :param routes: returns the routes in force; without it the items' route is among them.
+    """
     directory = Directory()
     directory.take([server], 0.0)
     board = LoadBoard()
@@ -244,7 +248,7 @@
         clock,
         lambda: True,
         lambda: book,
-        lambda: index,
+        routes or (lambda: index),
         commit,
         lambda: None,
         lambda: 0.0,
@@ -298,3 +302,30 @@
     assert asked == [0, kept] and kept >= 5
     assert results[0].completed
     assert results[0].text == "\n".join(f"one\nmore {number}" for number in range(1, 41))
+
+
+async def meet(table):
+    """Runs a job while its leader knows some table; returns how its items were recorded."""
+    server = BackendEntry("b", "s", "127.0.0.1:1", "d", 4, False)
+    book = ItemJobBook()
+    spec = ItemSpec("i", "/b/x", [], b"", 1)
+    itemjobs.submit(book, SubmitItemJob("j", "r", "h", [spec], 18.0, 0.0, 3, 0, 60.0), 0.0)
+    recorded = []
+
+    async def commit(command):
+        recorded.extend(attempt.outcome for attempt in command.attempts)
+        itemjobs.record(book, command)
+
+    runner = runner_of(book, server, commit, Metrics("ledger", ()), lambda: RouteIndex(table))
+    running = asyncio.create_task(runner.run())
+    await asyncio.sleep(5 * jobrunner.LOOK_SECONDS)
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    return recorded
+
+
+@pytest.mark.parametrize(
+    ("table", "recorded"), [(RouteTable(), []), (RouteTable(1), [Outcome.IMPOSSIBLE])]
+)
+def test_no_item_is_given_up_before_the_routes_are_known(table, recorded):
+    assert asyncio.run(meet(table)) == recorded
--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -3,13 +3,22 @@
 import asyncio
 
 import pytest
+from msgspec import structs
 
-from tests.gateways import gateway
+from tests.gateways import gateway, process, relay_settings
+from verbenashore import routing
 from verbenashore.backendcall import Call
+from verbenashore.control import ApplyVersion
 from verbenashore.directory import BackendEntry
 from verbenashore.exceptions import OverloadedError
 from verbenashore.gateway import START_SECONDS, START_SPREAD_SECONDS
-from verbenashore.routing import Route, RouteKind, Share
+from verbenashore.itemjobs import ItemSpec, SubmitItemJob
+from verbenashore.jobdesk import JobDesk
+from verbenashore.jobrunner import LOOK_SECONDS
+from verbenashore.replica import ReplicaRunner
+from verbenashore.replication import Timing
+from verbenashore.routing import Route, RouteKind, RouteTable, Share
+from verbenashore.types import CONTROL_GROUP
 
 ROUTE = Route("r", "h", "/l/", RouteKind.REPEATABLE, 5.0, 0.5, (Share("s", 1),))
 
@@ -93,3 +102,42 @@
             assert (await refusal(entry))[0].message == "no server"
 
     asyncio.run(play())
+
+
+async def lead(path, desired):
+    """Starts the only replica of a group, with its desk; returns how many items were given up.
+
+    :param desired: commands of its first start, or none.
+    """
+    clock = asyncio.get_running_loop().time
+    async with process() as running:
+        runner = ReplicaRunner(
+            CONTROL_GROUP, ("l", "127.0.0.1:1"), path, Timing(), clock, drop, 1, 1, ""
+        )
+        assert bool(runner.applied) is not bool(desired), "the second start is from a snapshot"
+        desk = JobDesk(running, runner, relay_settings())
+        desk._list.take([BackendEntry("b", "s", "127.0.0.1:1", "d", 4, False)], clock())
+        if desired:
+            runner.bootstrap((runner.peer,))
+        running.start(desk._jobs.run())
+        running.start(runner.run())
+        async with asyncio.timeout(5):
+            while not runner.serving:  # noqa: ASYNC110 - the replica tells only its own tasks
+                await asyncio.sleep(0.001)
+        for command in desired:
+            await runner.propose(command)
+        await asyncio.sleep(5 * LOOK_SECONDS)
+        return len(runner.state.item_jobs.job_by_id["j"].results)
+
+
+def drop(_peer, _packet):
+    """Takes messages of a replica that is alone."""
+
+
+def test_a_leader_that_restarts_from_a_snapshot_gives_up_no_item(tmp_path):
+    route = structs.replace(ROUTE, kind=RouteKind.BATCH)
+    table = routing.encode(RouteTable(1, (route,)))
+    items = [ItemSpec(str(n), "/l/x", [], b"", 1) for n in range(5)]
+    job = SubmitItemJob("j", "r", "h", items, 18.0, 0.0, 3, 0, 60.0)
+    assert asyncio.run(lead(tmp_path, [ApplyVersion(1, "o", table), job])) == 0
+    assert asyncio.run(lead(tmp_path, [])) == 0
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -312,7 +312,8 @@
 
     def _start_waiting(self) -> None:
         now = self._clock()
-        if not self._has_room(now):
+        # Before the first table no route can be said to be gone.
+        if not self._routes().table.version or not self._has_room(now):
             return
         jobs = self._book().job_by_id
         free_by_service: dict[ServiceName, bool] = {}
