Say where a call stood that got no whole answer

What operators saw: `call_failed` with `outcome=deadline` named no server, and not whether the call was queued, connecting, waiting for a head or in the middle of an answer. Change: call_failed and call_cancelled carry `server`, `step` (queued, connect, head, body, events), `step_age` and `heard_age`, the age of what last came from that server. No decision is changed.

--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -112,18 +112,27 @@
     left: float | None,
     last_event: int | None,
     progress: float,
+    on_connected: Callable[[], None] = lambda: None,
 ) -> AsyncIterator[Opened]:
     """Sends a call and yields its answer; leaving the block early stops the server's work.
 
     :param left: seconds for the whole call.
     :param progress: seconds in which each further part of the answer must come.
+    :param on_connected: called when there is a connection.
     :raises BackendBusyError: the server did not run the call.
     :raises BackendReplacedError: another server has the address, and did not run it.
     :raises BackendError: with ``not_run`` if nothing was sent; else the call may have run.
     """
     headers = dialect.call_headers(call, server, left, last_event)
     async with httpclient.exchange(
-        server.address, call.method, call.target, call.body, progress, headers, CONNECT_SECONDS
+        server.address,
+        call.method,
+        call.target,
+        call.body,
+        progress,
+        headers,
+        CONNECT_SECONDS,
+        on_connected,
     ) as running:
         head = dialect.read_head(running.status, running.headers)
         if head.call and head.call != call.id:
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import socket
+from enum import Enum
 from typing import Any
 
 import msgspec
@@ -85,10 +86,22 @@
 SUCCESS = 200
 #: Ends of a call that are dropped first when log lines have to be.
 ORDINARY_ENDS = frozenset({Event.CALL_ENDED, Event.CALL_CANCELLED})
+#: Ends of a call that has no whole answer; where it stood is written with them.
+BROKEN_ENDS = frozenset({Event.CALL_FAILED, Event.CALL_CANCELLED})
 #: Statuses by which a caller would take a call for not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
+class Step(Enum):
+    """Where a relayed call stands: in the queue, or at a server and waiting for what is named."""
+
+    QUEUED = "queued"
+    CONNECT = "connect"
+    HEAD = "head"
+    BODY = "body"
+    EVENTS = "events"
+
+
 class Relay(msgspec.Struct):
     """The state of one relayed call.
 
@@ -99,6 +112,9 @@
     :param first_at: when the first bytes went to the caller.
     :param passed_at: when the newest ones did.
     :param longest_pause: the longest time between two of them, in seconds.
+    :param server: the server at which it stands; "" while it is queued.
+    :param step_at: when it came to its step.
+    :param heard_at: when something last came from that server.
     """
 
     call: Call
@@ -113,6 +129,27 @@
     first_at: float | None = None
     passed_at: float = 0.0
     longest_pause: float = 0.0
+    server: BackendName = BackendName("")
+    step: Step = Step.QUEUED
+    step_at: float = 0.0
+    heard_at: float | None = None
+
+    def note_place(self, server: BackendName, step: Step, now: float) -> None:
+        """Notes where the call stands, with a server that was not heard of yet, or with none."""
+        self.server, self.step, self.step_at, self.heard_at = server, step, now, None
+
+    def note_step(self, step: Step, now: float) -> None:
+        """Notes what is waited for next."""
+        self.step, self.step_at = step, now
+
+    def standing(self, now: float) -> dict[str, object]:
+        """Returns where the call stands, as log fields."""
+        return {
+            "server": self.server,
+            "step": self.step.value,
+            "step_age": round(now - self.step_at, 4),
+            "heard_age": None if self.heard_at is None else round(now - self.heard_at, 4),
+        }
 
     def note_passed(self, now: float) -> None:
         """Notes that bytes went to the caller."""
@@ -276,7 +313,7 @@
             now + patience * LATE_SHARE,
             patient=self._returned.has_returned(call.host, call.path, call.patience),
         )
-        relay = Relay(call, route, now, now + patience, ticket, respond)
+        relay = Relay(call, route, now, now + patience, ticket, respond, step_at=now)
         relay.last_event = call.last_event
         try:
             async with asyncio.timeout(patience):
@@ -375,8 +412,10 @@
 
     async def _run(self, relay: Relay) -> None:
         while True:
+            relay.note_place(BackendName(""), Step.QUEUED, self._clock())
             server = await self._place(relay)
             placed_at = self._clock()
+            relay.note_place(server.name, Step.CONNECT, placed_at)
             try:
                 await self._attempt(relay, server)
                 self._dispatcher.note_success(server.name)
@@ -486,7 +525,9 @@
                 left=left,
                 last_event=relay.last_event,
                 progress=silence,
+                on_connected=lambda: relay.note_step(Step.HEAD, self._clock()),
             ) as opened:
+                relay.heard_at = self._clock()
                 if route.kind is RouteKind.STREAM and opened.head.status == SUCCESS:
                     await self._pass_stream(relay, opened)
                 else:
@@ -497,7 +538,12 @@
             raise
 
     async def _pass_whole(self, relay: Relay, opened: Opened) -> None:
-        body = b"".join([part async for part in opened.parts()])
+        relay.note_step(Step.BODY, self._clock())
+        parts = []
+        async for part in opened.parts():
+            relay.heard_at = self._clock()
+            parts.append(part)
+        body = b"".join(parts)
         head = opened.head
         if head.status >= 500 and not relay.last_attempt:
             raise BackendError(f"status {head.status}", step="head", peer="")
@@ -511,10 +557,12 @@
         )
 
     async def _pass_stream(self, relay: Relay, opened: Opened) -> None:
+        relay.note_step(Step.EVENTS, self._clock())
         pause = relay.route.pause or DEFAULT_PAUSE_SECONDS
         splitter = EventSplitter()
         resumable = relay.route.resumable
         async for part in opened.parts():
+            relay.heard_at = self._clock()
             if not relay.last_attempt:
                 opened.exchange.set_progress(pause * STALL_SHARE)
             data = self._whole_events(relay, splitter, part) if resumable else part
@@ -604,7 +652,10 @@
             )
 
     def _log_end(self, event: Event, relay: Relay, **fields: object) -> None:
-        seconds = self._clock() - relay.arrived_at
+        now = self._clock()
+        seconds = now - relay.arrived_at
+        if event in BROKEN_ENDS:
+            fields |= relay.standing(now)
         self._process.metrics.count(f"{relay.route.name}.{event.name.lower()}")
         self._process.metrics.time(f"{relay.route.name}.seconds", seconds)
         write = logs.info if event in ORDINARY_ENDS else logs.warning
--- a/verbenashore/httpclient.py
+++ b/verbenashore/httpclient.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import h11
@@ -114,11 +114,13 @@
     progress: float,
     headers: Headers = JSON_HEADERS,
     connect_seconds: float = CONNECT_SECONDS,
+    on_connected: Callable[[], None] = lambda: None,
 ) -> AsyncIterator[Exchange]:
     """Sends a request and gives its exchange; leaving the block closes the connection.
 
     A connection whose response has not ended is reset, so that the peer stops its work.
 
+    :param on_connected: called when there is a connection.
     :raises BackendError: with step ``connect`` if nothing was sent at all.
     """
     place = parse_address(address)
@@ -128,6 +130,7 @@
         reader, writer = await misc.within(connect_seconds, opening, late)
     except OSError as error:
         raise BackendError(str(error), step="connect", peer=address, not_run=True) from None
+    on_connected()
     running = Exchange(reader, writer, address, progress)
     try:
         running.send(method, target, headers, body)
