--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -46,6 +46,12 @@
         return min(probe.getsockname()[1], 65000)
 
 
+def own_address():
+    """Returns an address whose IP number nothing else uses, not even for outgoing connections."""
+    number = next(_own_numbers)
+    return f"127.5.{number // 250}.{number % 250 + 1}:{free_port()}"
+
+
 class Engine:
     """A stand-in engine: events that depend on the call's id, and faults on demand.
 
@@ -136,6 +142,7 @@
 
 
 _nets = itertools.count(1)
+_own_numbers = itertools.count()
 
 
 class Platform:
