Give long answers and messages a connection of their own

Each late answer also made the client turn from the leader, for heartbeats as well.

Calls whose answers grow with the state, and messages of more than 32 KiB, now go over a second link to the same address. A long answer that is late turns nobody from a replica that answers pings. The cost is a second set of pings, only to replicas that are read from.

--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -42,7 +42,7 @@
     def __init__(self):
         self.now = 0.0
 
-    def to(self, address):
+    def to(self, address, *, bulk=False):
         """Returns the link to a replica."""
         return Replica(self, address)
 
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -11,6 +11,7 @@
 from verbenashore import ledger
 from verbenashore.client import GroupClient
 from verbenashore.control import ApplyChange
+from verbenashore.messages import ReadHistory
 from verbenashore.process import Process
 from verbenashore.settings import parse_address
 from verbenashore.types import CONTROL_GROUP, BackendName, MemberRole
@@ -52,7 +53,7 @@
 
 @contextlib.asynccontextmanager
 async def member_on_a_slow_line(folder):
-    """Starts a ledger process behind a slow relay; yields a client of it and a member's view."""
+    """Starts a ledger process behind a slow relay; yields clients on both sides and a view."""
     inner, outer = own_address(), own_address()
     relay = Relay(parse_address(inner), Line(SLOW_LINE), Line(SLOW_LINE))
     place = parse_address(outer)
@@ -60,9 +61,10 @@
     near = Process(ledger_settings(folder, inner, outer))
     near.start(ledger.LedgerProcess(near).run())
     far = Process(namespace("entry-0"))
+    slow = GroupClient(CONTROL_GROUP, far.links, [outer], far.clock)
     view = SystemView(
         far,
-        GroupClient(CONTROL_GROUP, far.links, [outer], far.clock),
+        slow,
         MemberRole.ENTRY,
         "127.0.0.1:1",
         BackendName(""),
@@ -72,7 +74,7 @@
     far.start(view.run())
     direct = GroupClient(CONTROL_GROUP, near.links, [inner], near.clock)
     try:
-        yield direct, view
+        yield direct, slow, view
     finally:
         await far.close()
         await near.close()
@@ -101,7 +103,7 @@
 
 def test_a_configuration_that_takes_longer_than_a_heartbeat_arrives_and_costs_none(tmp_path):
     async def check():
-        async with member_on_a_slow_line(tmp_path) as (client, view):
+        async with member_on_a_slow_line(tmp_path) as (client, _slow, view):
             await apply(client, 1, "small")
             await follow(view, 1, IN_FORCE)
             await apply(client, 2, large_text(2))
@@ -113,7 +115,7 @@
 
 def test_a_storm_of_large_configurations_does_not_keep_a_member_at_an_old_one(tmp_path):
     async def check():
-        async with member_on_a_slow_line(tmp_path) as (client, view):
+        async with member_on_a_slow_line(tmp_path) as (client, _slow, view):
             for number in range(1, 9):
                 await apply(client, number, large_text(number))
                 await asyncio.sleep(0.33)
@@ -121,3 +123,20 @@
             await follow(view, 8, IN_FORCE)
 
     asyncio.run(check())
+
+
+def test_long_answers_to_a_member_do_not_hold_up_its_heartbeats(tmp_path):
+    async def check():
+        async with member_on_a_slow_line(tmp_path) as (client, slow, view):
+            await apply(client, 1, large_text(1))
+            await follow(view, 1, IN_FORCE)
+            reading = asyncio.ensure_future(slow.ask(ReadHistory(), 8.0))
+            longest = 0.0
+            while not reading.done():
+                await asyncio.sleep(0.02)
+                longest = max(longest, time.monotonic() - view.confirmed_at)
+            history = await reading
+            assert history.changes[0].text == large_text(1)
+            assert longest < 1.0
+
+    asyncio.run(check())
--- a/verbenashore/client.py
+++ b/verbenashore/client.py
@@ -15,9 +15,36 @@
 )
 from verbenashore.link import Link
 from verbenashore.machine import Command, Result
-from verbenashore.messages import Body, Committed, Propose, Sender
+from verbenashore.messages import (
+    Body,
+    Committed,
+    ListFiles,
+    ListJobs,
+    Propose,
+    ReadHistory,
+    ReadItemBody,
+    ReadItems,
+    ReadPart,
+    ReadResults,
+    ReadVersion,
+    Sender,
+)
+from verbenashore.transfer import PART_BYTES, AskPart
 from verbenashore.types import Clock, GroupId
 
+#: Calls whose answers grow with the state.
+LONG_ANSWERS = (
+    AskPart,
+    ListFiles,
+    ListJobs,
+    ReadHistory,
+    ReadItemBody,
+    ReadItems,
+    ReadPart,
+    ReadResults,
+    ReadVersion,
+)
+
 ATTEMPT_SECONDS = 0.5
 RETRY_SECONDS = 0.03
 #: Seconds for which a replica that did not answer is not turned to: longer than an election takes,
@@ -26,7 +53,11 @@
 
 
 class Links:
-    """The links of this process, by address; a link is made when it is first used."""
+    """The links of this process, by address; a link is made when it is first used.
+
+    What may be long has a link of its own to each address, so that heartbeats and small calls never
+    wait behind it.
+    """
 
     def __init__(
         self, context: zmq.asyncio.Context, sender: Callable[[], Sender], clock: Clock
@@ -35,17 +66,23 @@
         self._sender = sender
         self._clock = clock
         self._by_address: dict[str, Link] = {}
+        self._bulk_by_address: dict[str, Link] = {}
+
+    def to(self, address: str, *, bulk: bool = False) -> Link:
+        """Returns the link to an address.
 
-    def to(self, address: str) -> Link:
-        """Returns the link to an address."""
-        if address not in self._by_address:
-            self._by_address[address] = Link(self._context, address, self._sender, self._clock)
-        return self._by_address[address]
+        :param bulk: true for calls whose answers, or which themselves, may be long.
+        """
+        by_address = self._bulk_by_address if bulk else self._by_address
+        if address not in by_address:
+            by_address[address] = Link(self._context, address, self._sender, self._clock)
+        return by_address[address]
 
     async def keep_only(self, addresses: set[str]) -> None:
         """Closes the links to all other addresses."""
-        for address in set(self._by_address) - addresses:
-            await self._by_address.pop(address).close()
+        for by_address in (self._by_address, self._bulk_by_address):
+            for address in set(by_address) - addresses:
+                await by_address.pop(address).close()
 
     async def close(self) -> None:
         """Closes all links."""
@@ -112,7 +149,9 @@
         :raises UnavailableError: if no leader answered in time.
         """
         deadline = self._clock() + seconds
-        limit = attempt + wait + transfer.seconds_for(body, self._rate)
+        size = transfer.size_of(body)
+        limit = attempt + wait + size / self._rate
+        long_answer = isinstance(body, LONG_ANSWERS)
         unanswered: Counter[str] = Counter()
         last: VerbenaError = UnavailableError("no leader", step="ask")
         while (left := deadline - self._clock()) > 0:
@@ -120,7 +159,8 @@
             # Its answer may be larger than what comes in that time, and would never come.
             longer = limit * 2 ** unanswered[address]
             try:
-                return await self._links.to(address).call(body, min(longer, left))
+                link = self._links.to(address, bulk=long_answer or size > PART_BYTES)
+                return await link.call(body, min(longer, left))
             except NotLeaderError as error:
                 last = error
                 if self._follow(address, error.peer):
@@ -128,8 +168,10 @@
             except LinkSilentError as error:
                 last = error
                 unanswered[address] += 1
-                self._unanswered_at[address] = self._clock()
-                self._turn_from(address)
+                # A long answer that is late says nothing of a replica that answers pings.
+                if not long_answer or self._links.to(address).is_quiet:
+                    self._unanswered_at[address] = self._clock()
+                    self._turn_from(address)
             except UnavailableError as error:
                 last = error
             await asyncio.sleep(RETRY_SECONDS)
--- a/verbenashore/fetching.py
+++ b/verbenashore/fetching.py
@@ -106,7 +106,7 @@
         if self.near and ask.document is Document.CONFIGURATION:
             near, self.near = self.near, ""
             # The next heartbeat names it again, if it is still there.
-            answer = await self._links.to(near).call(ask, PART_SECONDS)
+            answer = await self._links.to(near, bulk=True).call(ask, PART_SECONDS)
             self.near = near
         else:
             answer = await self._control.ask(ask, PART_SECONDS, attempt=PART_SECONDS)
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -385,7 +385,8 @@
         if not near or now < self._far_until:
             return None
         try:
-            answer: Any = await self._process.links.to(near).call(ask, ask.wait + NEAR_SECONDS)
+            link = self._process.links.to(near, bulk=True)
+            answer: Any = await link.call(ask, ask.wait + NEAR_SECONDS)
         except NotFoundError:
             return None
         except VerbenaError as error:
--- a/verbenashore/link.py
+++ b/verbenashore/link.py
@@ -117,6 +117,11 @@
         self._receiver = misc.spawn(self._receive(self._socket), self._tasks)
         misc.spawn(self._watch(), self._tasks)
 
+    @property
+    def is_quiet(self) -> bool:
+        """True if a ping has gone unanswered."""
+        return self._clock() - self._heard > 2 * PING_SECONDS
+
     @property
     def is_silent(self) -> bool:
         """True if nothing came from the peer for longer than a few pings."""
--- a/verbenashore/transfer.py
+++ b/verbenashore/transfer.py
@@ -91,9 +91,14 @@
         return self.version >= 0 and len(self.data) == self.total
 
 
+def size_of(message: Any) -> int:
+    """Returns the bytes of a message."""
+    return len(_encoder.encode(message))
+
+
 def seconds_for(message: Any, rate: float = LOWEST_BYTES_PER_SECOND) -> float:
     """Returns the seconds that a message takes at some bytes per second."""
-    return len(_encoder.encode(message)) / rate
+    return size_of(message) / rate
 
 
 def pack(data: bytes) -> bytes:
