--- a/tests/group.py
+++ b/tests/group.py
@@ -3,6 +3,7 @@
 import os
 import random
 
+import msgspec
 from hypothesis import HealthCheck, settings
 from hypothesis.stateful import run_state_machine_as_test
 
@@ -13,10 +14,9 @@
     EntryKind,
     HardState,
     LogEntry,
-    Packet,
     Peer,
     RollCallRequest,
-    SnapshotRequest,
+    Snapshot,
     Timing,
 )
 from verbenashore.types import MemberName, ReplicaId
@@ -73,6 +73,10 @@
         self.acknowledged = 0
         self.incarnation = 0
         self.loss = 0.0
+        self.snapshot_bytes = 3 * (64 << 10) + 1
+        self.rates = {}
+        self.lines = {}
+        self.sent_bytes = {}
         for number in range(size + spares):
             self.start_new(f"n{number}")
         voters = tuple(self.peer(name) for name in sorted(self.replicas)[:size])
@@ -96,7 +100,7 @@
             TIMING,
             self.random.randrange(1 << 30),
             disk.hard,
-            disk.base,
+            Snapshot(disk.base, self.snapshot_data(disk.base.index)),
             disk.entries,
             self.now,
             MemberName(name),
@@ -112,6 +116,7 @@
         self.now += seconds
         arriving, self.packets = self.packets, []
         self.random.shuffle(arriving)
+        arriving += self.arrived()
         for sender, packet in arriving:
             self.deliver(sender, packet)
         for name in self.running():
@@ -150,11 +155,13 @@
         disk = self.disks[name][1]
         if output.install is not None:
             disk.base = output.install.base
+            assert output.install.data == self.snapshot_data(disk.base.index), "a mixed snapshot"
             disk.entries = list(replica.entries)
         disk.write(output.hard_state, output.entries)
         if output.entries:
             consensus.synced(replica, output.entries[-1].index, self.now)
-        self.packets += [(name, self.filled(packet)) for packet in output.packets]
+        for packet in output.packets:
+            self.post(name, packet)
         for entry in output.committed:
             assert self.committed.setdefault(entry.index, entry) == entry, "histories differ"
         if consensus.may_serve(replica, self.now):
@@ -162,12 +169,29 @@
         if output.committed or output.entries:
             self.carry_out(name)
 
-    @staticmethod
-    def filled(packet):
-        """Gives a snapshot the data that the runtime would."""
-        if not isinstance(packet.message, SnapshotRequest):
-            return packet
-        return Packet(packet.sender, packet.to, packet.message)
+    def post(self, sender, packet):
+        """Puts a packet on its way; the line to a replica with a rate keeps the order."""
+        to = next((name for name in self.rates if self.disks[name][0] == packet.to), None)
+        if to is None:
+            self.packets.append((sender, packet))
+            return
+        size = len(msgspec.msgpack.encode(packet))
+        self.sent_bytes[to] = self.sent_bytes.get(to, 0) + size
+        line = self.lines.setdefault(to, [])
+        begin = max(self.now, line[-1][0]) if line else self.now
+        line.append((begin + size / self.rates[to], sender, packet))
+
+    def arrived(self):
+        """Returns the packets that have come over the lines with a rate, in order."""
+        arrived = []
+        for line in self.lines.values():
+            while line and line[0][0] <= self.now:
+                arrived.append(line.pop(0)[1:])
+        return arrived
+
+    def snapshot_data(self, index):
+        """Returns what the state machine writes down at an index."""
+        return (b"%d " % index * self.snapshot_bytes)[: self.snapshot_bytes] if index else b""
 
     def repair(self, name):
         """Does what a leader does for its membership."""
@@ -205,8 +229,9 @@
     def compact(self, name):
         """Lets a replica replace its log by a snapshot."""
         replica = self.replicas[name]
-        if replica.handed_out > replica.base.index:
-            base = consensus.compact(replica, replica.handed_out)
+        index = replica.handed_out
+        if index > replica.snapshot.base.index:
+            base = consensus.compact(replica, index, self.snapshot_data(index), self.now)
             disk = self.disks[name][1]
             disk.entries = [entry for entry in disk.entries if entry.index > base.index]
             disk.base = base
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -3,7 +3,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from tests.group import TIMING, Group, run_machine
+from tests.group import TIMING, Group, entry, run_machine
 from verbenashore import consensus, replication
 from verbenashore.consensus import Role
 from verbenashore.replication import (
@@ -15,6 +15,9 @@
     Peer,
     RollCallReply,
     RollCallRequest,
+    Snapshot,
+    SnapshotReply,
+    SnapshotRequest,
     VoteReply,
     VoteRequest,
 )
@@ -283,10 +286,162 @@
     assert group.replicas[late].commit >= 300
 
 
+#: Bytes per second of the slowest line on the users' pages, 15 Mbit/s.
+SLOW_LINE = 15e6 / 8
+#: Takes 2.8 times the longest election time on that line.
+LARGE_SNAPSHOT = 4_000_000
+
+
+def behind_a_slow_line(*, emptied, seed=0):
+    """Returns a group whose snapshot is large, its leader, and a replica that needs it."""
+    group = Group(seed=seed)
+    group.snapshot_bytes = LARGE_SNAPSHOT
+    group.run(2.0)
+    (leader,) = group.servers()
+    late = next(name for name in sorted(group.replicas) if name != leader)
+    group.crash(late)
+    for number in range(20):
+        group.propose(b"%d" % number * (1 << 20))
+    group.run(1.5)
+    for name in group.running():
+        group.compact(name)
+    (group.start_new if emptied else group.restart)(late)
+    group.rates[late] = SLOW_LINE
+    return group, leader, late
+
+
+def run_and_note(group, leader, late, seconds):
+    """Runs a group; returns the longest time without a known answer of a replica."""
+    longest = 0.0
+    late_id = group.replicas[late].id
+    for _ in range(round(seconds / 0.02)):
+        group.step()
+        known = consensus.membership(group.replicas[leader])
+        if late_id in {peer.id for peer in (*known.voters, *known.learners)}:
+            answered = consensus.progress_of(group.replicas[leader], late_id).acknowledged
+            if answered > 0.0:
+                longest = max(longest, group.now - answered)
+    return longest
+
+
+def test_a_large_snapshot_reaches_a_learner_behind_a_slow_line_and_goes_over_it_once():
+    group, leader, late = behind_a_slow_line(emptied=True)
+    run_and_note(group, leader, late, 6.0)
+    assert group.replicas[late].commit >= 20
+    assert group.sent_bytes[late] < 1.2 * LARGE_SNAPSHOT
+
+
+def test_a_voter_behind_a_slow_line_hears_its_leader_while_it_gets_a_large_snapshot():
+    group, leader, late = behind_a_slow_line(emptied=False)
+    group.run(0.2)
+    started = group.replicas[late].hard.term
+    longest = run_and_note(group, leader, late, 6.0)
+    assert group.replicas[late].commit >= 20
+    assert group.replicas[late].hard.term == started and group.servers() == [leader]
+    assert longest < TIMING.lease
+
+
+def test_a_snapshot_goes_on_where_it_was_after_parts_are_lost():
+    group, leader, late = behind_a_slow_line(emptied=False, seed=1)
+    group.loss = 0.1
+    group.run(10.0)
+    group.loss = 0.0
+    group.run(1.0)
+    assert group.replicas[late].commit >= 20
+    assert group.sent_bytes[late] < 1.5 * LARGE_SNAPSHOT
+
+
+def test_a_replica_gets_a_snapshot_from_a_leader_that_takes_the_next_ones_meanwhile():
+    group, leader, late = behind_a_slow_line(emptied=True)
+    for number in range(30):
+        group.run(0.4)
+        group.propose(b"more %d" % number)
+        group.compact(leader)
+    group.run(1.0)
+    assert group.replicas[late].commit == group.replicas[leader].commit
+    assert group.sent_bytes[late] < 1.5 * LARGE_SNAPSHOT
+
+
+def test_a_replica_that_starts_again_amid_a_snapshot_still_gets_one():
+    group, leader, late = behind_a_slow_line(emptied=False)
+    group.run(1.5)
+    assert consensus.progress_of(group.replicas[leader], group.replicas[late].id).sending.received
+    group.restart(late)
+    group.propose(b"more")
+    group.compact(leader)
+    group.run(4.0)
+    assert group.replicas[late].commit == group.replicas[leader].commit
+    assert group.replicas[late].receiving is None
+
+
+def kept_bytes(group, leader):
+    """Returns how much a leader keeps of what its newest snapshot stands for."""
+    replica = group.replicas[leader]
+    count = replica.snapshot.base.index - replica.base.index
+    return sum(len(kept.data) for kept in replica.entries[:count])
+
+
+def test_the_entries_kept_for_a_replica_that_gets_a_snapshot_are_limited_and_end_with_its_need():
+    group, leader, late = behind_a_slow_line(emptied=False)
+    group.run(0.5)
+    sizes = []
+    for _ in range(8):
+        group.propose(b"a" * (consensus.KEPT_LOG_BYTES // 5))
+        group.run(0.1)
+        group.compact(leader)
+        sizes.append(kept_bytes(group, leader))
+        assert group.replicas[late].receiving is not None
+    assert sizes[:5] == sorted(sizes[:5]) and sizes[0] > 0
+    assert max(sizes) <= consensus.KEPT_LOG_BYTES
+    group.rates.clear()
+    group.run(6.0)
+    assert group.replicas[late].commit == group.replicas[leader].commit
+    assert kept_bytes(group, leader) == 0
+    group.crash(late)
+    group.run(TIMING.election_max)
+    group.propose(b"a")
+    group.run(0.1)
+    group.compact(leader)
+    assert kept_bytes(group, leader) == 0, "one that is away needs a snapshot anyway"
+
+
+def part(term, index, offset, data, size=4):
+    """Returns a leader's message with a part of a snapshot."""
+    return SnapshotRequest(term, Base(index, 5, started().base.membership), size, offset, data, 0.0)
+
+
+def test_parts_that_are_late_repeated_or_of_another_snapshot_are_never_mixed():
+    replica = started()
+    assert tell(replica, "b", part(5, 20, 2, b"cd"))["b"].received == 0, "the first is missing"
+    assert tell(replica, "b", part(5, 20, 0, b"ab"))["b"].received == 2
+    assert tell(replica, "b", part(5, 20, 0, b"ab"))["b"].received == 2
+    assert tell(replica, "b", part(5, 19, 2, b"yz"))["b"] == SnapshotReply(5, 20, 2, 0.0)
+    assert tell(replica, "b", part(5, 21, 2, b"yz"))["b"] == SnapshotReply(5, 21, 0, 0.0)
+    assert tell(replica, "b", part(5, 20, 2, b"cd"))["b"] == SnapshotReply(5, 21, 0, 0.0)
+    assert tell(replica, "b", part(5, 21, 0, b"wx"))["b"].received == 2
+    assert tell(replica, "c", part(6, 21, 2, b"yz"))["c"].received == 0, "of another leader"
+    assert tell(replica, "c", part(6, 21, 0, b"12"))["c"].received == 2
+    consensus.receive(replica, Packet("c", "a", part(6, 21, 2, b"34")), 0.01)
+    output = consensus.take_output(replica)
+    assert (output.install.base.index, output.install.data) == (21, b"1234")
+    assert [packet.message.match for packet in output.packets] == [21]
+    assert replica.receiving is None and replica.commit == 21
+
+
+def test_the_parts_of_a_snapshot_are_dropped_once_the_log_or_another_leader_passes_them():
+    replica = started()
+    tell(replica, "b", part(5, 8, 0, b"ab"))
+    tell(replica, "b", AppendRequest(5, 7, 5, [entry(8, 5)], 8, 0.0))
+    assert replica.receiving is None
+    tell(replica, "b", part(5, 20, 0, b"ab"))
+    tell(replica, "c", append(6))
+    assert replica.receiving is None
+
+
 def vote(request, *, replica_id="a", now=10.0):
     """Returns the answer of a replica that has just started, after its shelter has ended."""
     hard = HardState(5, "")
-    replica = consensus.new_replica(replica_id, replication.Timing(), 1, hard, Base(), [], 0.0)
+    replica = consensus.new_replica(replica_id, replication.Timing(), 1, hard, Snapshot(), [], 0.0)
     consensus.receive(replica, Packet("b", "a", request), now)
     output = consensus.take_output(replica)
     return [p.message for p in output.packets if isinstance(p.message, VoteReply)]
@@ -303,7 +458,7 @@
 
 
 def test_a_replica_votes_once_in_a_term():
-    replica = consensus.new_replica("a", replication.Timing(), 1, HardState(), Base(), [], 0.0)
+    replica = consensus.new_replica("a", replication.Timing(), 1, HardState(), Snapshot(), [], 0.0)
     for sender in ("b", "c"):
         request = VoteRequest(3, 0, 0, False, False)
         consensus.receive(replica, Packet(sender, "a", request), 10.0)
@@ -335,7 +490,9 @@
     """Returns replica ``a`` of a group that has just started, with term 5 on its disk."""
     known = Membership(tuple(Peer(name, name, name) for name in names))
     base = Base(7, 5, known)
-    return consensus.new_replica("a", replication.Timing(), 1, HardState(5, ""), base, [], 0.0)
+    return consensus.new_replica(
+        "a", replication.Timing(), 1, HardState(5, ""), Snapshot(base), [], 0.0
+    )
 
 
 def tell(replica, sender, message, now=0.01):
@@ -377,7 +534,7 @@
 def test_only_the_process_that_ran_a_voter_tells_that_it_is_no_more():
     def answer(own_name):
         replica = consensus.new_replica(
-            "new", replication.Timing(), 1, HardState(), Base(), [], 0.0, own_name
+            "new", replication.Timing(), 1, HardState(), Snapshot(), [], 0.0, own_name
         )
         consensus.receive(replica, Packet("b", "a", RollCallRequest(1, ["a", "b"], "n0")), 0.1)
         return [(p.sender, p.message.fresh) for p in consensus.take_output(replica).packets]
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -5,7 +5,8 @@
 import pytest
 
 from verbenashore import control
-from verbenashore.replica import ReplicaRunner
+from verbenashore.consensus import SNAPSHOT_PART_BYTES
+from verbenashore.replica import JoinWish, ReplicaRunner
 from verbenashore.replication import Timing
 from verbenashore.types import CONTROL_GROUP
 
@@ -56,3 +57,44 @@
     for number in range(restarts + 1):
         before, after = asyncio.run(first_command(tmp_path, first=number == 0))
     assert before <= after < before + 5.0, "jobs and records end by this time"
+
+
+def test_a_new_replica_installs_a_snapshot_of_many_parts_and_has_it_on_its_disk(tmp_path):
+    async def scenario():
+        clock = asyncio.get_running_loop().time
+        runners = {}
+
+        def runner(name):
+            def send(_peer, packet):
+                for other in runners.values():
+                    if other.peer.id == packet.to:
+                        other.take(packet)
+
+            own = (name, f"{name}:1")
+            return ReplicaRunner(
+                CONTROL_GROUP, own, tmp_path / name, Timing(), clock, send, 1, 1 << 18, ""
+            )
+
+        runners["a"] = runner("a")
+        runners["a"].bootstrap((runners["a"].peer,))
+        tasks = [asyncio.create_task(runners["a"].run())]
+        first = runners["a"]
+        async with asyncio.timeout(20):
+            while not first.core.snapshot.data:  # noqa: ASYNC110 - written in a thread
+                await asyncio.sleep(0.02)
+                if first.serving and first.applied < 4:
+                    ids = [f"{first.applied}-{number}-" + 10_000 * "x" for number in range(40)]
+                    await first.propose(control.RetireReplicas("x", ids))
+            runners["b"] = runner("b")
+            tasks.append(asyncio.create_task(runners["b"].run()))
+            first.take(JoinWish(runners["b"].peer))
+            await runners["b"].reach(first.core.snapshot.base.index)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        again = runner("b")
+        return first.core.snapshot, runners["b"].core.snapshot, again.core.snapshot
+
+    sent, installed, loaded = asyncio.run(scenario())
+    assert len(sent.data) > 3 * SNAPSHOT_PART_BYTES
+    assert sent == installed == loaded
--- a/verbenashore/consensus.py
+++ b/verbenashore/consensus.py
@@ -27,6 +27,8 @@
     Peer,
     RollCallReply,
     RollCallRequest,
+    Snapshot,
+    SnapshotReply,
     SnapshotRequest,
     TermMessage,
     Timing,
@@ -38,6 +40,11 @@
 
 MAX_ENTRIES_PER_MESSAGE = 512
 MAX_BYTES_PER_MESSAGE = 1 << 20
+#: Bytes of a snapshot in one message: 35 ms on a line of 15 Mbit/s, less than a heartbeat's 45 ms.
+SNAPSHOT_PART_BYTES = 64 << 10
+#: Bytes of entries, at least, kept for replicas that a snapshot would leave behind: twice the
+#: 8 MiB of log after which one is taken.
+KEPT_LOG_BYTES = 16 << 20
 
 
 class Role(Enum):
@@ -48,6 +55,32 @@
     LEADER = "leader"
 
 
+class Sending(msgspec.Struct):
+    """A snapshot on its way to one replica; newer ones don't replace it.
+
+    :param received: how many bytes of it the replica has acknowledged.
+    :param part_at: when the newest part was sent.
+    :param asked_at: when a part or a heartbeat was sent last.
+    """
+
+    snapshot: Snapshot
+    received: int = 0
+    part_at: float = float("-inf")
+    asked_at: float = float("-inf")
+
+
+class Receiving(msgspec.Struct):
+    """The parts of a snapshot that have come from a leader.
+
+    :param term: the leader's; another leader's snapshot may differ in its bytes.
+    """
+
+    term: Term
+    base: Base
+    size: int
+    data: bytearray = msgspec.field(default_factory=bytearray)
+
+
 class Progress(msgspec.Struct):
     """What a leader knows of one other replica.
 
@@ -59,7 +92,7 @@
     match: LogIndex = LogIndex(0)
     acknowledged: float = float("-inf")
     heard: float = float("-inf")
-    snapshot_sent: float = float("-inf")
+    sending: Sending | None = None
 
 
 class Output(msgspec.Struct):
@@ -74,7 +107,7 @@
 
     hard_state: HardState | None = None
     entries: list[LogEntry] = msgspec.field(default_factory=list)
-    install: SnapshotRequest | None = None
+    install: Snapshot | None = None
     packets: list[Packet] = msgspec.field(default_factory=list)
     committed: list[LogEntry] = msgspec.field(default_factory=list)
 
@@ -82,6 +115,8 @@
 class Replica(msgspec.Struct):
     """The state of one replica.
 
+    :param base: where the entries in memory begin.
+    :param snapshot: the newest one; its base is never before the other.
     :param persisted: the last index that is synced here.
     :param handed_out: the last committed index given to the runtime.
     :param name: the process that runs it.
@@ -93,8 +128,10 @@
     timing: Timing
     random: random.Random
     hard: HardState
+    snapshot: Snapshot
     base: Base
     entries: list[LogEntry]
+    receiving: Receiving | None = None
     role: Role = Role.FOLLOWER
     leader: ReplicaId = NOBODY
     commit: LogIndex = LogIndex(0)
@@ -122,14 +159,15 @@
     timing: Timing,
     seed: int,
     hard: HardState,
-    base: Base,
+    snapshot: Snapshot,
     entries: list[LogEntry],
     now: float,
     name: MemberName = NAMELESS,
 ) -> Replica:
     """Returns a replica that starts from what its disk holds."""
-    replica = Replica(replica_id, timing, random.Random(seed), hard, base, list(entries))
-    replica.commit = replica.handed_out = base.index
+    chance = random.Random(seed)
+    replica = Replica(replica_id, timing, chance, hard, snapshot, snapshot.base, list(entries))
+    replica.commit = replica.handed_out = snapshot.base.index
     replica.persisted = last_index(replica)
     replica.name = name
     replica.heard_leader = now
@@ -190,6 +228,8 @@
 
 def tick(replica: Replica, now: float) -> None:
     """Lets time pass."""
+    if replica.base.index < replica.snapshot.base.index and not _laggards(replica, now):
+        _drop_entries(replica, replica.snapshot.base.index)
     if replica.role is Role.LEADER:
         if now - _quorum_acknowledged(replica, now) > replica.timing.election_max:
             _follow(replica, replica.hard.term, NOBODY, now)
@@ -231,6 +271,10 @@
         if peer not in before:
             progress_of(replica, peer.id).heard = now
     _append(replica, EntryKind.MEMBERSHIP, msgspec.msgpack.encode(new))
+    members = {peer.id for peer in _others(new, replica.id)}
+    replica.progress = {
+        peer_id: progress for peer_id, progress in replica.progress.items() if peer_id in members
+    }
     _broadcast(replica, now)
     return True
 
@@ -242,15 +286,47 @@
         _broadcast(replica, now)
 
 
-def compact(replica: Replica, index: LogIndex) -> Base:
-    """Forgets the entries up to an applied index, for which a snapshot now stands."""
-    term = term_at(replica, index)
-    assert term is not None and index <= replica.handed_out
-    base = Base(index, term, _membership_at(replica, index))
+def compact(replica: Replica, index: LogIndex, data: bytes, now: float) -> Base:
+    """Takes a written snapshot of an applied index, and forgets the entries up to it.
+
+    A leader keeps some for the replicas that are catching up, or they would need one snapshot
+    after the other.
+    """
+    assert replica.snapshot.base.index < index <= replica.handed_out
+    replica.snapshot = Snapshot(base_at(replica, index), data)
+    reached = _laggards(replica, now)
+    limit = max(KEPT_LOG_BYTES, 2 * len(data))
+    size = 0
+    oldest: int = index
+    while oldest > min(reached, default=index):
+        size += len(replica.entries[oldest - replica.base.index - 1].data)
+        if size > limit:
+            break
+        oldest -= 1
+    end = min((at for at in reached if at >= oldest), default=index)
+    _drop_entries(replica, end)
+    return replica.snapshot.base
+
+
+def _laggards(replica: Replica, now: float) -> list[LogIndex]:
+    """Returns up to where the replicas are that need entries which a snapshot stands for."""
+    if replica.role is not Role.LEADER:
+        return []
+    reached = []
+    for progress in replica.progress.values():
+        if progress.sending is not None:
+            reached.append(progress.sending.snapshot.base.index)
+        elif now - progress.heard < replica.timing.election_max:
+            reached.append(progress.match)
+    return [at for at in reached if replica.base.index <= at < replica.snapshot.base.index]
+
+
+def _drop_entries(replica: Replica, index: int) -> None:
+    """Forgets the entries up to an index."""
+    base = base_at(replica, LogIndex(index))
     replica.entries = replica.entries[index - replica.base.index :]
     replica.base = base
     _recall_memberships(replica)
-    return base
 
 
 def base_at(replica: Replica, index: LogIndex) -> Base:
@@ -301,6 +377,8 @@
         _on_append_reply(replica, sender, message, now)
     elif isinstance(message, SnapshotRequest):
         _on_snapshot(replica, sender, message, now)
+    elif isinstance(message, SnapshotReply):
+        _on_snapshot_reply(replica, sender, message, now)
     elif message.term == replica.hard.term and is_voter(replica):
         _campaign(replica, now, trial=False, handover=True)
 
@@ -329,6 +407,7 @@
     replica.role = Role.FOLLOWER
     replica.leader = leader
     replica.votes = set()
+    replica.progress = {}
     _reset_election(replica, now)
 
 
@@ -427,6 +506,7 @@
     replica.fresh = False
     replica.leader = replica.id
     replica.led_since = now
+    replica.receiving = None
     after_last = LogIndex(last_index(replica) + 1)
     replica.progress = {
         peer.id: Progress(after_last, acknowledged=now, heard=now)
@@ -547,6 +627,7 @@
     if previous_term is None:
         _send_snapshot(replica, peer_id, progress, now)
         return
+    progress.sending = None
     start = previous - replica.base.index
     entries: list[LogEntry] = []
     size = 0
@@ -563,10 +644,64 @@
 
 
 def _send_snapshot(replica: Replica, peer_id: ReplicaId, progress: Progress, now: float) -> None:
-    if now - progress.snapshot_sent < replica.timing.election_max:
+    """Sends the first part of a snapshot, or a heartbeat while one is on its way.
+
+    The heartbeat's answer shows whether the newest part was lost.
+    """
+    if progress.sending is None:
+        progress.sending = Sending(replica.snapshot)
+        _send_part(replica, peer_id, progress.sending, now)
+    elif now - progress.sending.asked_at >= replica.timing.heartbeat / 2:
+        _send_part(replica, peer_id, progress.sending, now, limit=0)
+
+
+def _send_part(
+    replica: Replica,
+    peer_id: ReplicaId,
+    sending: Sending,
+    now: float,
+    limit: int = SNAPSHOT_PART_BYTES,
+) -> None:
+    snapshot = sending.snapshot
+    data = snapshot.data[sending.received : sending.received + limit]
+    sending.asked_at = now
+    if data:
+        sending.part_at = now
+    size = len(snapshot.data)
+    request = SnapshotRequest(replica.hard.term, snapshot.base, size, sending.received, data, now)
+    _send(replica, peer_id, request)
+
+
+def _on_snapshot_reply(
+    replica: Replica, sender: ReplicaId, reply: SnapshotReply, now: float
+) -> None:
+    progress = _note_answer(replica, sender, reply, now)
+    if progress is None or progress.sending is None:
         return
-    progress.snapshot_sent = now
-    _send(replica, peer_id, SnapshotRequest(replica.hard.term, replica.base, b"", now))
+    sending = progress.sending
+    if reply.base_index != sending.snapshot.base.index:
+        return
+    if reply.received > sending.received:
+        sending.received = reply.received
+    elif reply.sent_at <= sending.part_at:
+        return
+    elif reply.received == 0:
+        progress.sending = sending = Sending(replica.snapshot)
+    else:
+        sending.received = reply.received
+    _send_part(replica, sender, sending, now)
+
+
+def _note_answer(
+    replica: Replica, sender: ReplicaId, reply: AppendReply | SnapshotReply, now: float
+) -> Progress | None:
+    """Notes that a member follows this leader; returns None if the answer is none to it."""
+    progress = replica.progress.get(sender)
+    if replica.role is not Role.LEADER or reply.term != replica.hard.term or progress is None:
+        return None
+    progress.heard = now
+    progress.acknowledged = max(progress.acknowledged, reply.sent_at)
+    return progress
 
 
 def _hear_leader(replica: Replica, sender: ReplicaId, now: float) -> None:
@@ -591,6 +726,7 @@
     else:
         match, ok = _accept_entries(replica, request), True
         replica.commit = max(replica.commit, min(request.commit, match))
+    _forget_parts(replica)
     _send(replica, sender, AppendReply(replica.hard.term, ok, match, request.sent_at))
 
 
@@ -608,17 +744,17 @@
 
 
 def _on_append_reply(replica: Replica, sender: ReplicaId, reply: AppendReply, now: float) -> None:
-    if replica.role is not Role.LEADER or reply.term != replica.hard.term:
+    progress = _note_answer(replica, sender, reply, now)
+    if progress is None:
         return
-    progress = progress_of(replica, sender)
-    progress.heard = now
-    progress.acknowledged = max(progress.acknowledged, reply.sent_at)
     if not reply.ok:
         progress.next = LogIndex(max(progress.match + 1, min(reply.match + 1, progress.next)))
         _send_entries(replica, sender, now)
         return
     progress.match = max(progress.match, reply.match)
     progress.next = max(progress.next, LogIndex(progress.match + 1))
+    if progress.sending is not None and progress.match >= progress.sending.snapshot.base.index:
+        progress.sending = None
     if _advance_commit(replica):
         _broadcast(replica, now)
     elif progress.next <= last_index(replica):
@@ -646,17 +782,50 @@
         _send(replica, sender, AppendReply(replica.hard.term, False, LogIndex(0), request.sent_at))
         return
     _hear_leader(replica, sender, now)
-    if request.base.index > replica.commit:
-        if term_at(replica, request.base.index) == request.base.term:
-            replica.entries = replica.entries[request.base.index - replica.base.index :]
-        else:
-            replica.entries = []
-        replica.base = request.base
-        replica.output.entries = []
-        replica.output.install = request
-        replica.commit = replica.handed_out = request.base.index
-        replica.persisted = max(replica.persisted, request.base.index)
-        replica.persisted = min(replica.persisted, last_index(replica))
-        _recall_memberships(replica)
-    match = LogIndex(max(request.base.index, replica.commit))
-    _send(replica, sender, AppendReply(replica.hard.term, True, match, request.sent_at))
+    _take_part(replica, request)
+    parts = replica.receiving
+    if parts is not None and len(parts.data) == parts.size:
+        _install(replica, Snapshot(parts.base, bytes(parts.data)))
+    _forget_parts(replica)
+    if request.base.index <= replica.commit:
+        match = LogIndex(max(request.base.index, replica.commit))
+        _send(replica, sender, AppendReply(replica.hard.term, True, match, request.sent_at))
+    elif replica.receiving is not None:
+        base, received = replica.receiving.base, len(replica.receiving.data)
+        reply = SnapshotReply(replica.hard.term, base.index, received, request.sent_at)
+        _send(replica, sender, reply)
+
+
+def _take_part(replica: Replica, request: SnapshotRequest) -> None:
+    """Adds a part to those that have come; one of an older snapshot or beyond a gap is dropped."""
+    if request.base.index <= replica.commit:
+        return
+    parts = replica.receiving
+    if parts is None or (parts.term, parts.base.index) < (request.term, request.base.index):
+        parts = replica.receiving = Receiving(request.term, request.base, request.size)
+    same = (parts.term, parts.base) == (request.term, request.base)
+    if same and request.offset == len(parts.data):
+        parts.data += request.data
+
+
+def _forget_parts(replica: Replica) -> None:
+    """Drops the parts of a snapshot that the log has passed, or whose sender leads no more."""
+    parts = replica.receiving
+    if parts and (parts.base.index <= replica.commit or parts.term < replica.hard.term):
+        replica.receiving = None
+
+
+def _install(replica: Replica, snapshot: Snapshot) -> None:
+    base = snapshot.base
+    if term_at(replica, base.index) == base.term:
+        replica.entries = replica.entries[base.index - replica.base.index :]
+    else:
+        replica.entries = []
+    replica.base = base
+    replica.snapshot = snapshot
+    replica.output.entries = []
+    replica.output.install = snapshot
+    replica.commit = replica.handed_out = base.index
+    replica.persisted = max(replica.persisted, base.index)
+    replica.persisted = min(replica.persisted, last_index(replica))
+    _recall_memberships(replica)
--- a/verbenashore/replica.py
+++ b/verbenashore/replica.py
@@ -13,7 +13,7 @@
 from verbenashore.exceptions import NotLeaderError, UnavailableError
 from verbenashore.logs import Event
 from verbenashore.machine import Command, Result
-from verbenashore.replication import EntryKind, LogEntry, Packet, Peer, SnapshotRequest
+from verbenashore.replication import EntryKind, LogEntry, Packet, Peer, Snapshot
 from verbenashore.types import Clock, GroupId, LogIndex, MemberName, Term
 
 TICK_SECONDS = 0.02
@@ -38,7 +38,7 @@
 class SnapshotDone(msgspec.Struct):
     """A snapshot that has been written."""
 
-    snapshot: storage.Snapshot
+    snapshot: Snapshot
 
 
 class JoinWish(msgspec.Struct):
@@ -82,7 +82,6 @@
         self._folder, loaded = storage.open_folder(path)
         if loaded.cut:
             logs.warning(Event.TAIL_CUT, group=group, bytes=loaded.cut)
-        self._snapshot = loaded.snapshot
         #: The last entry that the state holds.
         self.applied = loaded.snapshot.base.index
         self.state = machine.restore(loaded.snapshot.data, group)
@@ -92,7 +91,7 @@
             timing,
             misc.quick_hash(f"{self.peer.id}/{time.time_ns()}"),
             loaded.hard,
-            loaded.snapshot.base,
+            loaded.snapshot,
             loaded.entries,
             clock(),
             own[0],
@@ -328,11 +327,6 @@
         known = consensus.membership(self.core)
         peers = (*known.voters, *known.learners)
         peer = next((peer for peer in peers if peer.id == packet.to), None)
-        if isinstance(packet.message, SnapshotRequest):
-            message = msgspec.structs.replace(
-                packet.message, base=self._snapshot.base, data=self._snapshot.data
-            )
-            packet = Packet(packet.sender, packet.to, message)
         self._send(peer or Peer(packet.to, MemberName(""), ""), packet)
 
     def _apply(self, entries: list[LogEntry]) -> None:
@@ -365,36 +359,32 @@
             with self._trace.open("ab") as stream:
                 stream.write(msgspec.json.encode(entry) + b"\n")
 
-    async def _install(self, request: SnapshotRequest) -> None:
-        self._snapshot = storage.Snapshot(request.base, request.data)
+    async def _install(self, snapshot: Snapshot) -> None:
         self._folder.hard = self.core.hard
-        await asyncio.to_thread(
-            storage.reset_log, self._folder, self._snapshot, list(self.core.entries)
-        )
-        self.state = machine.restore(request.data, self.group)
-        self._note_applied(request.base.index)
-        logs.info(Event.SNAPSHOT_INSTALLED, group=self.group, index=request.base.index)
+        await asyncio.to_thread(storage.reset_log, self._folder, snapshot, list(self.core.entries))
+        self.state = machine.restore(snapshot.data, self.group)
+        self._note_applied(snapshot.base.index)
+        logs.info(Event.SNAPSHOT_INSTALLED, group=self.group, index=snapshot.base.index)
 
     def _snapshot_if_due(self) -> None:
-        limit = max(self._snapshot_bytes, len(self._snapshot.data))
+        limit = max(self._snapshot_bytes, len(self.core.snapshot.data))
         if self._snapshotting or self._log_bytes < limit or not self.state.applied:
             return
         self._snapshotting = True
         self._log_bytes = 0
         base = consensus.base_at(self.core, self.core.handed_out)
-        taken = storage.Snapshot(base, machine.snapshot(self.state))
+        taken = Snapshot(base, machine.snapshot(self.state))
         misc.spawn(self._write_snapshot(taken), self._tasks)
 
-    async def _write_snapshot(self, taken: storage.Snapshot) -> None:
+    async def _write_snapshot(self, taken: Snapshot) -> None:
         await asyncio.to_thread(storage.write_snapshot, self._folder, taken)
         self._inbox.put_nowait(SnapshotDone(taken))
 
-    def _finish_snapshot(self, taken: storage.Snapshot) -> None:
+    def _finish_snapshot(self, taken: Snapshot) -> None:
         self._snapshotting = False
-        if taken.base.index <= self.core.base.index:
+        if taken.base.index <= self.core.snapshot.base.index:
             return
-        self._snapshot = taken
-        consensus.compact(self.core, taken.base.index)
+        consensus.compact(self.core, taken.base.index, taken.data, self._clock())
         storage.drop_covered(self._folder, taken.base.index)
         logs.info(Event.SNAPSHOT_WRITTEN, group=self.group, index=taken.base.index)
 
--- a/verbenashore/replication.py
+++ b/verbenashore/replication.py
@@ -107,6 +107,13 @@
     membership: Membership = Membership()
 
 
+class Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """A state machine as it was at its base."""
+
+    base: Base = Base()
+    data: bytes = b""
+
+
 class VoteRequest(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Asks for a vote.
 
@@ -146,7 +153,7 @@
 
 
 class AppendReply(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """Answers an append or a snapshot.
+    """Answers an append or a whole snapshot.
 
     :param match: the last index known to agree, or where to try next if not ``ok``.
     """
@@ -157,15 +164,34 @@
     sent_at: float
 
 
-class SnapshotRequest(msgspec.Struct, frozen=True, array_like=True, tag=5):
-    """Carries a snapshot; the runtime fills in its data."""
+class SnapshotRequest(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Carries a part of a snapshot, or none as a heartbeat.
+
+    :param size: bytes of the whole snapshot.
+    :param offset: where the part begins.
+    """
 
     term: Term
     base: Base
+    size: int
+    offset: int
     data: bytes
     sent_at: float
 
 
+class SnapshotReply(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Answers a part of a snapshot that isn't whole yet.
+
+    :param base_index: the snapshot's last entry.
+    :param received: how many bytes of it have come without a gap.
+    """
+
+    term: Term
+    base_index: LogIndex
+    received: int
+    sent_at: float
+
+
 class HandoverRequest(msgspec.Struct, frozen=True, array_like=True, tag=6):
     """Tells a follower to campaign at once."""
 
@@ -202,7 +228,13 @@
 
 RollCallMessage = RollCallRequest | RollCallReply
 TermMessage = (
-    VoteRequest | VoteReply | AppendRequest | AppendReply | SnapshotRequest | HandoverRequest
+    VoteRequest
+    | VoteReply
+    | AppendRequest
+    | AppendReply
+    | SnapshotRequest
+    | SnapshotReply
+    | HandoverRequest
 )
 Message = TermMessage | RollCallMessage
 
--- a/verbenashore/storage.py
+++ b/verbenashore/storage.py
@@ -9,7 +9,7 @@
 
 from verbenashore.exceptions import StorageError
 from verbenashore.misc import random_id
-from verbenashore.replication import Base, HardState, LogEntry
+from verbenashore.replication import HardState, LogEntry, Snapshot
 from verbenashore.types import ReplicaId
 
 #: Marks the first record of a write, and the others; a write is synced before the next one begins.
@@ -35,13 +35,6 @@
 _decoder = msgspec.msgpack.Decoder(Record)
 
 
-class Snapshot(msgspec.Struct, frozen=True, array_like=True):
-    """A snapshot on disk."""
-
-    base: Base
-    data: bytes
-
-
 class Loaded(msgspec.Struct):
     """What a data folder held at the start.
 
@@ -211,7 +204,7 @@
 def _read_snapshot(path: Path) -> Snapshot:
     files = sorted(path.glob("snapshot-*[0-9]"))
     if not files:
-        return Snapshot(Base(), b"")
+        return Snapshot()
     payload = _unframe(files[-1].read_bytes(), 0)
     if payload is None:
         raise StorageError("snapshot is damaged", step="open", peer=str(files[-1]))
