Limit the entries on their way to a replica, so that heartbeats pass

A replica on a slow line that lacks many entries hears no heartbeat until all of them have come.

Cause: an append carried up to 1 MiB, and each heartbeat, proposal and answer sent the next such message, whether or not the ones before had been answered. All that was missing stood in the queue of the connection, and each heartbeat behind it. A message that was refused because the one before it was missing made the leader send everything from there again, once per refused message.

Why it works: a message has at most 64 KiB of entries, or one entry, and at most 256 KiB are on their way; beyond that, the replica gets heartbeats only, which take 140 ms behind a full window on such a line. After entries were refused one message goes until something agrees, and a refusal of a message that was sent before that is passed over, unless it asks for earlier ones.

A single entry can't be split: one of 4 MB still takes its time on the line.

--- a/lab/mutants.py
+++ b/lab/mutants.py
@@ -128,6 +128,20 @@
         "end = index",
         CONSENSUS,
     ),
+    Mutant(
+        "puts any number of entries before a heartbeat",
+        "consensus.py",
+        "return bool(progress.flights) and (",
+        "return False and (",
+        CONSENSUS,
+    ),
+    Mutant(
+        "goes back for each message after one that was lost",
+        "consensus.py",
+        "if reply.sent_at <= progress.rewound_at and target >= progress.rewound_to:",
+        "if False:",
+        CONSENSUS,
+    ),
     Mutant(
         "serves before its first entry is applied",
         "consensus.py",
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -1,5 +1,7 @@
 """The replicated log: agreement, leases and membership under losses of every kind."""
 
+import msgspec
+import pytest
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
@@ -374,6 +376,63 @@
     assert group.replicas[late].receiving is None
 
 
+def lacking_entries(count, size, seed=0):
+    """Returns a group with a replica on a slow line that lacks many bytes of entries."""
+    group = Group(seed=seed)
+    group.run(2.0)
+    (leader,) = group.servers()
+    late = next(name for name in sorted(group.replicas) if name != leader)
+    group.crash(late)
+    for _ in range(count):
+        group.propose(b"a" * size)
+    group.run(1.5)
+    group.restart(late)
+    group.rates[late] = SLOW_LINE
+    group.run(0.2)
+    return group, leader, late
+
+
+@pytest.mark.parametrize(("count", "size"), [(40, 100_000), (8_000, 500)])
+def test_a_replica_that_lacks_many_entries_hears_its_leader_while_it_gets_them(count, size):
+    group, leader, late = lacking_entries(count, size)
+    term = group.replicas[late].hard.term
+    longest = run_and_note(group, leader, late, 8.0)
+    assert group.replicas[late].commit == group.replicas[leader].commit
+    assert longest < TIMING.lease
+    assert group.replicas[late].hard.term == term and group.servers() == [leader]
+    on_the_line = sum(len(msgspec.msgpack.encode(kept)) for kept in group.replicas[leader].entries)
+    assert group.sent_bytes[late] < 1.2 * on_the_line
+
+
+def test_commands_proposed_meanwhile_do_not_fill_the_line_of_a_replica_that_is_behind():
+    group, leader, late = lacking_entries(40, 100_000)
+    longest = 0.0
+    for number in range(100):
+        group.propose(b"%d" % number * 5_000)
+        longest = max(longest, run_and_note(group, leader, late, 0.04))
+    assert longest < TIMING.lease
+    run_and_note(group, leader, late, 6.0)
+    assert group.replicas[late].commit == group.replicas[leader].commit
+
+
+def test_an_entry_larger_than_a_message_should_be_still_gets_through():
+    group, leader, late = lacking_entries(2, 1_500_000)
+    group.run(4.0)
+    assert group.replicas[late].commit == group.replicas[leader].commit
+
+
+def test_a_lost_message_makes_no_more_than_the_window_be_sent_again():
+    total, loss, groups = 0, 0.1, 6
+    for seed in range(groups):
+        group, leader, late = lacking_entries(200, 20_000, seed=seed)
+        group.loss = loss
+        group.run(10.0)
+        assert group.replicas[late].commit == group.replicas[leader].commit
+        total += group.sent_bytes[late]
+    window = consensus.WINDOW_BYTES / consensus.MAX_BYTES_PER_MESSAGE
+    assert total < groups * 200 * 20_000 * (1 + loss * window)
+
+
 def kept_bytes(group, leader):
     """Returns how much a leader keeps of what its newest snapshot stands for."""
     replica = group.replicas[leader]
--- a/verbenashore/consensus.py
+++ b/verbenashore/consensus.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections import deque
 from enum import Enum
 
 import msgspec
@@ -39,8 +40,12 @@
 from verbenashore.types import LogIndex, MemberName, ReplicaId, Term
 
 MAX_ENTRIES_PER_MESSAGE = 512
-MAX_BYTES_PER_MESSAGE = 1 << 20
-#: Bytes of a snapshot in one message: 35 ms on a line of 15 Mbit/s, less than a heartbeat's 45 ms.
+#: Bytes of entries in one message: 35 ms on a line of 15 Mbit/s, less than a heartbeat's 45 ms.
+MAX_BYTES_PER_MESSAGE = 64 << 10
+#: Bytes of entries on their way to one replica, after which only heartbeats are sent: 140 ms on
+#: that line, so that a heartbeat behind them is answered within a lease of 225 ms.
+WINDOW_BYTES = 256 << 10
+#: Bytes of a snapshot in one message, as for entries.
 SNAPSHOT_PART_BYTES = 64 << 10
 #: Bytes of entries, at least, kept for replicas that a snapshot would leave behind: twice the
 #: 8 MiB of log after which one is taken.
@@ -86,12 +91,24 @@
 
     :param acknowledged: when the newest message it answered was sent.
     :param heard: when its last answer came.
+    :param sent_at: when entries or a heartbeat were sent last.
+    :param rewound_at: when ``next`` went back, since entries were missing or differed.
+    :param rewound_to: where it went then.
+    :param probing: true until something agrees after that; one message is on its way till then.
+    :param flights: the last index and the bytes of each message that isn't answered.
+    :param in_flight: the sum of these bytes.
     """
 
     next: LogIndex
     match: LogIndex = LogIndex(0)
     acknowledged: float = float("-inf")
     heard: float = float("-inf")
+    sent_at: float = float("-inf")
+    rewound_at: float = float("-inf")
+    rewound_to: LogIndex = LogIndex(0)
+    probing: bool = False
+    flights: deque[tuple[LogIndex, int]] = msgspec.field(default_factory=deque)
+    in_flight: int = 0
     sending: Sending | None = None
 
 
@@ -622,13 +639,29 @@
 
 def _send_entries(replica: Replica, peer_id: ReplicaId, now: float) -> None:
     progress = progress_of(replica, peer_id)
-    previous = LogIndex(progress.next - 1)
-    previous_term = term_at(replica, previous)
-    if previous_term is None:
+    if term_at(replica, progress.next - 1) is None:
         _send_snapshot(replica, peer_id, progress, now)
         return
     progress.sending = None
-    start = previous - replica.base.index
+    if _is_full(progress):
+        if now - progress.sent_at >= replica.timing.heartbeat / 2:
+            _send_append(replica, peer_id, progress, [], now)
+        return
+    more = True
+    while more:
+        _send_append(replica, peer_id, progress, _next_entries(replica, progress), now)
+        more = progress.next <= last_index(replica) and not _is_full(progress)
+
+
+def _is_full(progress: Progress) -> bool:
+    """Tells whether no more entries should be on their way to a replica."""
+    room = WINDOW_BYTES - progress.in_flight
+    return bool(progress.flights) and (progress.probing or room < MAX_BYTES_PER_MESSAGE)
+
+
+def _next_entries(replica: Replica, progress: Progress) -> list[LogEntry]:
+    """Returns the entries of one message; the first one goes whatever its size."""
+    start = progress.next - 1 - replica.base.index
     entries: list[LogEntry] = []
     size = 0
     for entry in replica.entries[start : start + MAX_ENTRIES_PER_MESSAGE]:
@@ -636,7 +669,21 @@
         if entries and size > MAX_BYTES_PER_MESSAGE:
             break
         entries.append(entry)
-    progress.next = LogIndex(progress.next + len(entries))
+    return entries
+
+
+def _send_append(
+    replica: Replica, peer_id: ReplicaId, progress: Progress, entries: list[LogEntry], now: float
+) -> None:
+    previous = LogIndex(progress.next - 1)
+    previous_term = term_at(replica, previous)
+    assert previous_term is not None
+    if entries:
+        progress.next = LogIndex(entries[-1].index + 1)
+        size = sum(len(entry.data) for entry in entries)
+        progress.flights.append((entries[-1].index, size))
+        progress.in_flight += size
+    progress.sent_at = now
     request = AppendRequest(
         replica.hard.term, previous, previous_term, entries, replica.commit, now
     )
@@ -748,10 +795,21 @@
     if progress is None:
         return
     if not reply.ok:
-        progress.next = LogIndex(max(progress.match + 1, min(reply.match + 1, progress.next)))
+        target = LogIndex(max(progress.match + 1, min(reply.match + 1, progress.next)))
+        if reply.sent_at <= progress.rewound_at and target >= progress.rewound_to:
+            # What was missing then is on its way again.
+            return
+        progress.next = progress.rewound_to = target
+        progress.rewound_at = now
+        progress.probing = True
+        progress.flights.clear()
+        progress.in_flight = 0
         _send_entries(replica, sender, now)
         return
     progress.match = max(progress.match, reply.match)
+    progress.probing = False
+    while progress.flights and progress.flights[0][0] <= progress.match:
+        progress.in_flight -= progress.flights.popleft()[1]
     progress.next = max(progress.next, LogIndex(progress.match + 1))
     if progress.sending is not None and progress.match >= progress.sending.snapshot.base.index:
         progress.sending = None
