Let a new leader know what a run of an item usually takes

Cause: what a run takes (seconds, events, pauses) was learnt in the leader's memory only. A new leader took every item for 5 s whatever it had produced, so it put nearly done ones behind as late, and began ones that bursts of online calls would not let it finish in time.

Change: the commit of a result says what its item took, and the mean is part of the replicated state.

Why it works: urgency goes by the same figures, whoever leads.

Tests: test_a_new_leader_does_not_take_an_item_that_is_nearly_done_for_a_late _one failed on the code before: [0, 36] instead of [36, 0], the fresh item went first. The former tests of Usual say the same of its new interface.

--- a/tests/test_itemjobs.py
+++ b/tests/test_itemjobs.py
@@ -1,9 +1,12 @@
 """Item jobs: accepted once, listed at fixed positions, bounded in tokens and attempts."""
 
+import msgspec
 import pytest
 
 from verbenashore import itemjobs
 from verbenashore.itemjobs import (
+    FIRST_RUN_SECONDS,
+    RUN_WEIGHT,
     Advanced,
     Attempt,
     EndItemJob,
@@ -12,6 +15,7 @@
     KeepProgress,
     Outcome,
     RecordAttempts,
+    Spent,
     SubmitItemJob,
 )
 
@@ -152,3 +156,15 @@
     rest = Attempt("j", 0, Outcome.COMPLETED, "b", after=1, events=1)
     itemjobs.record(book, RecordAttempts([rest]))
     assert listed(book) == [], "its beginning is forgotten"
+
+
+def test_what_an_item_took_outlives_the_leader_that_ran_it():
+    book = ItemJobBook()
+    itemjobs.submit(book, job(), 0.0)
+    done = Attempt("j", 0, Outcome.COMPLETED, "a\nb", events=2, spent=Spent(2, 4.0, 2.0))
+    itemjobs.record(book, RecordAttempts([done, done]))
+    assert book.usual.events == 2
+    assert book.usual.seconds == pytest.approx(FIRST_RUN_SECONDS + RUN_WEIGHT * -1.0)
+    assert book.usual.interrupted == pytest.approx(1.0 + RUN_WEIGHT * 0.5)
+    restored = msgspec.msgpack.decode(msgspec.msgpack.encode(book), type=ItemJobBook)
+    assert restored.usual == book.usual
--- a/tests/test_jobrunner.py
+++ b/tests/test_jobrunner.py
@@ -11,6 +11,7 @@
 from verbenashore.directory import BackendEntry, Directory
 from verbenashore.dispatch import Dispatcher
 from verbenashore.itemjobs import (
+    Advanced,
     ItemJob,
     ItemJobBook,
     ItemSpec,
@@ -18,14 +19,9 @@
     KeepProgress,
     Outcome,
     SubmitItemJob,
-)
-from verbenashore.jobrunner import (
-    LONGEST_PAUSE_SECONDS,
-    JobRunner,
-    Progress,
     Usual,
-    in_order,
 )
+from verbenashore.jobrunner import LONGEST_PAUSE_SECONDS, JobRunner, Progress, in_order
 from verbenashore.metrics import Metrics
 from verbenashore.prober import Prober
 from verbenashore.routing import Route, RouteIndex, RouteKind, RouteTable, Share
@@ -92,23 +88,32 @@
         on_time += end <= chosen.due_at
 
 
-def play_bursts(order, arrivals, slots, seconds, learns=True):
+def play_bursts(order, arrivals, slots, seconds, learns=True, lost_at=(), forgets=False):
     """Plays jobs on slots that online calls take for 2.8 s of every 6.6 s.
 
     The items that run are chosen anew every 0.1 s; returns how many were done in time.
 
     :param learns: how long an item takes is learnt, with its pauses.
+    :param lost_at: when another leader takes over, which knows what is replicated.
+    :param forgets: what was learnt isn't replicated.
     """
     jobs = [job(number, at) for number, at in enumerate(arrivals)]
     by_id = {one.id: one for one in jobs}
     items = {}
-    usual = Usual(RUN_SECONDS, EVENTS)
+    learnt = Usual(RUN_SECONDS, EVENTS)
     on_time = 0
     for step in range(round(seconds / 0.1)):
         now = step * 0.1
+        if step in [round(at / 0.1) for at in lost_at]:
+            items.update({key: Progress(item.events) for key, item in items.items()})
+            learnt = Usual() if forgets else learnt
         free = slots // 8 if now % 6.6 < 2.8 else slots
         come = [one for one in jobs if one.submitted_at <= now]
-        keys = order(come, now, lambda *one: usual.left(items[one].events if one in items else 0))
+
+        def left(*key, usual=learnt):
+            return usual.left(items[key].events if key in items else 0)
+
+        keys = order(come, now, left)
         for key in keys[:free]:
             progress = items.setdefault(key, Progress())
             progress.note_start(now)
@@ -118,7 +123,7 @@
                 by_id[key[0]].items[key[1]].listed = True
                 on_time += now + 0.1 <= by_id[key[0]].due_at
                 if learns:
-                    usual.note(progress)
+                    learnt.note(progress.events, progress.spent)
     return on_time
 
 
@@ -145,7 +150,7 @@
 def test_what_a_run_still_takes_is_learnt_and_never_nothing():
     usual = Usual()
     assert usual.left(50) == usual.seconds
-    usual.note(Progress(texts=["x"] * 200, ran=4.0))
+    usual.note(200, Progress(texts=["x"] * 200, ran=4.0).spent)
     assert usual.left(0) == pytest.approx(usual.seconds)
     assert usual.left(100) == pytest.approx(usual.seconds / 2)
     assert usual.left(1000) > 0
@@ -159,7 +164,7 @@
         progress.texts += ["x"] * 40
         progress.note_stop(start, start + 2.0)
     assert (progress.ran, progress.paused) == (6.0, 2.0 + LONGEST_PAUSE_SECONDS)
-    usual.note(progress)
+    usual.note(progress.events, progress.spent)
     assert 1.0 < usual.interrupted < 2.0
 
 
@@ -172,6 +177,15 @@
     assert after > play_bursts(in_order, arrivals, 40, 80.0, learns=False)
 
 
+@pytest.mark.parametrize("gap", [0.4, 0.6, 0.8, 1.0])
+def test_a_new_leader_that_knows_how_long_items_take_makes_fewer_late(gap):
+    """The same slots and bursts; there come 25 to 10 items/s, and two leaders are lost."""
+    arrivals = [n * gap for n in range(round(40 / gap))]
+    lost = {"lost_at": (15.0, 21.0)}
+    after = play_bursts(in_order, arrivals, 40, 80.0, **lost)
+    assert after > play_bursts(in_order, arrivals, 40, 80.0, **lost, forgets=True)
+
+
 @pytest.mark.parametrize("gap", [1.6, 2.0])
 def test_items_that_can_all_be_done_in_time_are(gap):
     """The same slots; there come 6 and 5 items/s."""
@@ -329,3 +343,42 @@
 )
 def test_no_item_is_given_up_before_the_routes_are_known(table, recorded):
     assert asyncio.run(meet(table)) == recorded
+
+
+async def lead_after_another():
+    """Returns which items a new leader ran first, after another one's run of an item."""
+    engine = Engine(events=40, pause=0.0)
+    listener = await asyncio.start_server(engine.answer, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    server = BackendEntry("b", "s", f"{host}:{port}", "d", 2, False)
+    book = ItemJobBook()
+
+    def submit(name, due_in):
+        spec = ItemSpec(name, "/b/x", [], b"", 1)
+        itemjobs.submit(book, SubmitItemJob(name, "r", "h", [spec], due_in, 0.0, 3, 0, 60.0), 0.0)
+
+    async def commit(command):
+        apply = itemjobs.keep if isinstance(command, KeepProgress) else itemjobs.record
+        apply(book, command)
+
+    async def lead_until(is_true):
+        metrics = Metrics("ledger", ())
+        leading = asyncio.create_task(runner_of(book, server, commit, metrics).run())
+        await until(is_true)
+        leading.cancel()
+        await asyncio.gather(leading, return_exceptions=True)
+
+    submit("first", 18.0)
+    await lead_until(lambda: book.job_by_id["first"].items[0].listed)
+    submit("nearly done", 2.0)
+    submit("fresh", 18.0)
+    itemjobs.keep(book, KeepProgress([Advanced("nearly done", 0, 0, ["x"] * 36, 36)]))
+    engine.resumed_after.clear()
+    await lead_until(lambda: all(job.items[0].listed for job in book.job_by_id.values()))
+    listener.close()
+    return [after for after in engine.resumed_after if after != "cut"]
+
+
+def test_a_new_leader_does_not_take_an_item_that_is_nearly_done_for_a_late_one():
+    """In 2 s an item that has 36 of 40 events can be done, and one that takes 5 s can't."""
+    assert asyncio.run(lead_after_another()) == [36, 0]
--- a/verbenashore/itemjobs.py
+++ b/verbenashore/itemjobs.py
@@ -12,6 +12,14 @@
 from verbenashore.transfer import PAGE_BYTES
 from verbenashore.types import JobId
 
+#: Assumed seconds of an item's whole run before any has ended, and the newest one's weight.
+FIRST_RUN_SECONDS = 5.0
+RUN_WEIGHT = 0.1
+#: How many times longer a run may be taken to last beside online calls than alone.
+MOST_INTERRUPTED = 2.0
+#: Share of a whole run that an item counts as having left at least, whatever it has produced.
+LEAST_LEFT = 0.1
+
 
 class Outcome(Enum):
     """How one attempt at an item ended."""
@@ -66,12 +74,26 @@
     waiting: int
 
 
+class Spent(msgspec.Struct, frozen=True, array_like=True):
+    """What some events of an item took.
+
+    :param events: how many.
+    :param ran: seconds that the item spent at servers for them.
+    :param paused: seconds in between, for online calls.
+    """
+
+    events: int
+    ran: float
+    paused: float
+
+
 class Attempt(msgspec.Struct, frozen=True, array_like=True):
     """One ended attempt at an item.
 
     :param text: the events' data after those that are kept already, a line each.
     :param after: how many events are kept already.
     :param events: how many there are in ``text``.
+    :param spent: what the item took under this leader; None if it isn't known.
     """
 
     job: JobId
@@ -80,6 +102,7 @@
     text: str = ""
     after: int = 0
     events: int = 0
+    spent: Spent | None = None
 
 
 class RecordAttempts(msgspec.Struct, frozen=True, array_like=True, tag="record_attempts"):
@@ -172,6 +195,36 @@
         return not self.ended and len(self.results) < len(self.items)
 
 
+class Usual(msgspec.Struct):
+    """What a whole run usually is, which a new leader must know, too.
+
+    :param seconds: what it takes at servers.
+    :param events: how many it produces; 0 while unknown.
+    :param interrupted: how many times longer it lasts beside online calls than alone.
+    """
+
+    seconds: float = FIRST_RUN_SECONDS
+    events: float = 0.0
+    interrupted: float = 1.0
+
+    def left(self, events: int) -> float:
+        """Returns the seconds that an item still takes which has produced some events."""
+        share = 1.0 - events / self.events if self.events else 1.0
+        return self.seconds * self.interrupted * max(LEAST_LEFT, share)
+
+    def note(self, events: int, spent: Spent) -> None:
+        """Takes in an item that is done.
+
+        :param events: of its whole output.
+        """
+        self.events += (RUN_WEIGHT if self.events else 1.0) * (events - self.events)
+        if 2 * spent.events < events or not spent.ran:
+            return
+        self.seconds += RUN_WEIGHT * (spent.ran * events / spent.events - self.seconds)
+        interrupted = min(MOST_INTERRUPTED, 1.0 + spent.paused / spent.ran)
+        self.interrupted += RUN_WEIGHT * (interrupted - self.interrupted)
+
+
 class ItemJobBook(msgspec.Struct):
     """All jobs.
 
@@ -180,6 +233,7 @@
 
     job_by_id: dict[JobId, ItemJob] = msgspec.field(default_factory=dict)
     waiting_by_route: dict[str, int] = msgspec.field(default_factory=dict)
+    usual: Usual = msgspec.field(default_factory=Usual)
 
 
 def submit(book: ItemJobBook, command: SubmitItemJob, now: float) -> SubmitResult:
@@ -215,6 +269,8 @@
         if attempt.outcome is Outcome.COMPLETED:
             if attempt.after == item.events:
                 _list(book, job, item, True, _joined(item, attempt.text, attempt.events))
+                if attempt.spent is not None:
+                    book.usual.note(attempt.after + attempt.events, attempt.spent)
             continue
         item.failures += 1
         if attempt.outcome is Outcome.IMPOSSIBLE or item.failures >= job.max_attempts:
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -18,7 +18,15 @@
 from verbenashore.dispatch import Dispatcher
 from verbenashore.events import NO_NUMBER, EventSplitter
 from verbenashore.exceptions import BackendBusyError, BackendError, VerbenaError
-from verbenashore.itemjobs import Advanced, Attempt, ItemJob, ItemJobBook, ItemState, Outcome
+from verbenashore.itemjobs import (
+    Advanced,
+    Attempt,
+    ItemJob,
+    ItemJobBook,
+    ItemState,
+    Outcome,
+    Spent,
+)
 from verbenashore.logs import Event
 from verbenashore.metrics import Metrics
 from verbenashore.prober import Prober
@@ -34,16 +42,9 @@
 #: Seconds for which a server gets no new item after one had to yield there: each start reads the
 #: prompt again, which slows the online calls that the item yielded to.
 YIELD_PAUSE_SECONDS = 0.15
-#: Assumed seconds of an item's whole run before any has ended, and the newest one's weight.
-FIRST_RUN_SECONDS = 5.0
-RUN_WEIGHT = 0.1
 #: Longest pause of an item in seconds that counts as one for online calls, which come in bursts of
 #: some seconds; one that waits longer waits for other items.
 LONGEST_PAUSE_SECONDS = 3.0
-#: How many times longer a run may be taken to last beside online calls than alone.
-MOST_INTERRUPTED = 2.0
-#: Share of a whole run that an item counts as having left at least, whatever it has produced.
-LEAST_LEFT = 0.1
 #: Seconds between two commits of what running items have produced; what is newer is run again
 #: when the leader is lost.  A whole run takes some seconds, a commit some milliseconds.
 KEEP_SECONDS = 1.0
@@ -83,6 +84,11 @@
         """How many events there are in all."""
         return self.before + len(self.texts)
 
+    @property
+    def spent(self) -> Spent:
+        """What its events took, without those that an earlier leader had kept."""
+        return Spent(len(self.texts), self.ran, self.paused)
+
     def after(self, kept: int) -> list[str]:
         """Returns the data of the events after the first ones, which are kept."""
         return self.texts[kept - self.before :]
@@ -98,34 +104,6 @@
         self.stopped_at = now
 
 
-class Usual(msgspec.Struct):
-    """What a whole run usually is.
-
-    :param seconds: what it takes at servers.
-    :param events: how many it produces; 0 while unknown.
-    :param interrupted: how many times longer it lasts beside online calls than alone.
-    """
-
-    seconds: float = FIRST_RUN_SECONDS
-    events: float = 0.0
-    interrupted: float = 1.0
-
-    def left(self, events: int) -> float:
-        """Returns the seconds that an item still takes which has produced some events."""
-        share = 1.0 - events / self.events if self.events else 1.0
-        return self.seconds * self.interrupted * max(LEAST_LEFT, share)
-
-    def note(self, done: Progress) -> None:
-        """Takes in an item that is done."""
-        made = len(done.texts)
-        self.events += (RUN_WEIGHT if self.events else 1.0) * (done.events - self.events)
-        if 2 * made < done.events or not done.ran:
-            return
-        self.seconds += RUN_WEIGHT * (done.ran * done.events / made - self.seconds)
-        interrupted = min(MOST_INTERRUPTED, 1.0 + done.paused / done.ran)
-        self.interrupted += RUN_WEIGHT * (interrupted - self.interrupted)
-
-
 class Urgency(msgspec.Struct, frozen=True, order=True, array_like=True):
     """Orders items; the lowest goes first.
 
@@ -219,7 +197,6 @@
         self._on_load = on_load
         self._ledger_time = ledger_time
         self._metrics = metrics
-        self._usual = Usual()
         self._run_by_key: dict[ItemKey, Run] = {}
         self._progress_by_key: dict[ItemKey, Progress] = {}
         self._yielded_at: dict[BackendName, float] = {}
@@ -352,10 +329,11 @@
 
     def _left(self, job: JobId, index: int) -> float:
         """Returns the seconds that an item still takes."""
+        book = self._book()
         progress = self._progress_by_key.get((job, index))
         if progress is not None:
-            return self._usual.left(progress.events)
-        return self._usual.left(self._book().job_by_id[job].items[index].events)
+            return book.usual.left(progress.events)
+        return book.usual.left(book.job_by_id[job].items[index].events)
 
     def _choose(
         self, service: ServiceName, now: float, excluded: set[BackendName] = NO_SERVERS
@@ -404,7 +382,6 @@
             self._take_off(run)
         self._metrics.count(f"{job.route}.item_{outcome.value}")
         if outcome is Outcome.COMPLETED:
-            self._usual.note(progress)
             self._metrics.time(f"{job.route}.item_seconds", progress.ran)
         logs.info(Event.ITEM_ENDED, **_names(run), outcome=outcome, events=progress.events)
         try:
@@ -428,7 +405,8 @@
         for _ in range(MAX_COMMITS):
             kept = item.events
             rest = progress.after(kept)
-            attempt = Attempt(job.id, index, outcome, "\n".join(rest), kept, len(rest))
+            text = "\n".join(rest)
+            attempt = Attempt(job.id, index, outcome, text, kept, len(rest), progress.spent)
             await self._commit(itemjobs.RecordAttempts([attempt]))
             if item.listed or not job.open:
                 return
