Don't move a call on while its body is still being sent

What callers saw: a call with a long body that may be repeated goes on to the next server after 0.4 or 0.6 of its objective, though the first one is still reading; the same bytes are sent again over the same line, and the first server's work is lost. Cause: the wait for an answer's head begins with the sending, with a time that knows no size. Change: that wait includes what the body takes at the lowest rate. Evidence, on loopback through a relay of 1.2 MB/s, body of 400 kB, objective 0.5 s: two servers got the call, and now one. Before, test_relayed failed: E assert 2 == 1

--- a/verbenashore/client.py
+++ b/verbenashore/client.py
@@ -150,7 +150,7 @@
         """
         deadline = self._clock() + seconds
         size = transfer.size_of(body)
-        limit = attempt + wait + size / self._rate
+        limit = attempt + wait + transfer.seconds(size, self._rate)
         long_answer = isinstance(body, LONG_ANSWERS)
         unanswered: Counter[str] = Counter()
         last: VerbenaError = UnavailableError("no leader", step="ask")
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -517,7 +517,8 @@
         silence = left
         if not relay.last_attempt:
             share = STALL_SHARE if route.kind is RouteKind.STREAM else WHOLE_STALL_SHARE
-            silence = min(left, route.objective * share)
+            sending = transfer.seconds(len(relay.call.body))
+            silence = min(left, route.objective * share + sending)
         try:
             async with backendcall.open_call(
                 self._dialect,
--- a/verbenashore/transfer.py
+++ b/verbenashore/transfer.py
@@ -96,9 +96,14 @@
     return len(_encoder.encode(message))
 
 
+def seconds(size: int, rate: float = LOWEST_BYTES_PER_SECOND) -> float:
+    """Returns the seconds that some bytes take at some bytes per second."""
+    return size / rate
+
+
 def seconds_for(message: Any, rate: float = LOWEST_BYTES_PER_SECOND) -> float:
-    """Returns the seconds that a message takes at some bytes per second."""
-    return size_of(message) / rate
+    """Returns the seconds that a message takes between processes, at some bytes per second."""
+    return seconds(size_of(message), rate)
 
 
 def pack(data: bytes) -> bytes:
