Count the time that a caller was held for news into its patience

A caller who was held until its route was known got its whole patience anew from then on: 1.75 s with a patience of 1 s, and servers were told so.

--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -10,7 +10,7 @@
 from verbenashore.backendcall import Call
 from verbenashore.control import ApplyVersion
 from verbenashore.directory import BackendEntry
-from verbenashore.exceptions import OverloadedError
+from verbenashore.exceptions import OverloadedError, VerbenaError
 from verbenashore.gateway import START_SECONDS, START_SPREAD_SECONDS
 from verbenashore.itemjobs import ItemSpec, SubmitItemJob
 from verbenashore.jobdesk import JobDesk
@@ -141,3 +141,33 @@
     job = SubmitItemJob("j", "r", "h", items, 18.0, 0.0, 3, 0, 60.0)
     assert asyncio.run(lead(tmp_path, [ApplyVersion(1, "o", table, b""), job])) == 0
     assert asyncio.run(lead(tmp_path, [])) == 0
+
+
+async def hang(reader, _writer):
+    """Takes a call and never answers it."""
+    await reader.read()
+
+
+def test_a_caller_held_for_news_is_not_held_beyond_its_patience():
+    patience = 1.0
+    route = Route("r", "h", "/l/", RouteKind.REPEATABLE, 5.0, 0.5, (Share("s", 1),))
+
+    async def play():
+        listener = await asyncio.start_server(hang, "127.0.0.1", 0)
+        host, port = listener.sockets[0].getsockname()
+        async with gateway() as entry:
+            entry._list.take(
+                [BackendEntry("b", "s", f"{host}:{port}", "d", 4, False)], entry._clock()
+            )
+            entry._returned.note("h", "/l/x", 5.0)
+            came = entry.clock()
+            finding = asyncio.create_task(entry.find_route("h", "/l/x", "c", patience))
+            await asyncio.sleep(0.7)
+            entry._view.deployment = RouteTable(1, (route,))
+            entry._on_change()
+            call = Call("c", "h", "GET", "/l/x", "/l/x", [], b"", patience)
+            with pytest.raises(VerbenaError):
+                await entry.relay(call, await finding, Answer(), came)
+            assert entry.clock() - came < patience + 0.2
+
+    asyncio.run(play())
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -180,7 +180,7 @@
     def __init__(self, running: Process, given: RelaySettings, seeds: list[str]) -> None:
         settings = running.settings
         self._process = running
-        self._clock = running.clock
+        self._clock = self.clock = running.clock
         self._dialect: Dialect = given.dialect
         self._reports = given.reports
         self.tuning = Tuning()
@@ -294,15 +294,18 @@
         self._learned.set()
         self._learned = asyncio.Event()
 
-    async def relay(self, call: Call, route: Route, respond: Responder) -> None:
+    async def relay(
+        self, call: Call, route: Route, respond: Responder, arrived_at: float | None = None
+    ) -> None:
         """Answers one online call by a backend server's answer.
 
         :raises OverloadedError: the call was refused, and did not run.
         :raises DeadlineError: its time was over.
         :raises OutcomeUnknownError: it may have run, and there is no answer.
+        :param arrived_at: when it came, if that isn't now; its caller's patience began then.
         :raises ConnectionResetError: its answer has begun and can't be ended.
         """
-        now = self._clock()
+        now = self._clock() if arrived_at is None else arrived_at
         wanted = call.patience if call.patience is not None else route.timeout
         patience = min(route.timeout, wanted)
         ticket = Ticket(
@@ -316,7 +319,7 @@
         relay = Relay(call, route, now, now + patience, ticket, respond, step_at=now)
         relay.last_event = call.last_event
         try:
-            async with asyncio.timeout(patience):
+            async with asyncio.timeout(relay.end_at - self._clock()):
                 await self._run(relay)
         except TimeoutError:
             self._log_end(Event.CALL_FAILED, relay, outcome="deadline")
