Drop a message that can't be read instead of ending the process

One message with a tag that a build doesn't know ended the server that got it, and with it the process: in a rolling upgrade the first new process would have ended every old one. Such messages are logged (message_unreadable) and dropped; their senders have deadlines.

--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -3,7 +3,9 @@
 import asyncio
 import time
 
+import msgspec
 import pytest
+import zmq
 import zmq.asyncio
 
 from tests.platforms import own_address
@@ -54,3 +56,30 @@
     return lambda peer, envelope: (
         None if type(envelope.body).__name__ == "CancelCall" else take(peer, envelope)
     )
+
+
+def test_a_message_of_a_newer_build_does_not_end_a_server():
+    async def play():
+        context = zmq.asyncio.Context()
+        address = own_address()
+
+        async def answer(_envelope, reply):
+            reply(files.Done(), True)
+
+        clock = asyncio.get_running_loop().time
+        server = Server(context, address, sender, clock, answer)
+        running = asyncio.create_task(server.run())
+        socket = context.socket(zmq.DEALER)
+        socket.connect(f"tcp://{address}")
+        await socket.send(
+            msgspec.msgpack.encode([1, True, ["p", "d", "r", 0], ["of_a_newer_build", 1]])
+        )
+        await asyncio.sleep(0.5)
+        ended = running.done()
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        socket.close(linger=0)
+        context.destroy(linger=0)
+        assert not ended
+
+    asyncio.run(play())
--- a/verbenashore/link.py
+++ b/verbenashore/link.py
@@ -80,6 +80,15 @@
     )
 
 
+def _read(data: bytes, peer: str) -> Envelope | None:
+    """Reads a message; one of a build that knows others is logged and dropped."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.DecodeError as error:
+        logs.warning(Event.MESSAGE_UNREADABLE, peer=peer, bytes=len(data), error=str(error))
+        return None
+
+
 def _send_now(socket: zmq.asyncio.Socket, parts: list[bytes]) -> None:
     """Sends without waiting; the receiver's deadline covers a message that is dropped."""
     future = asyncio.ensure_future(socket.send_multipart(parts, zmq.NOBLOCK))
@@ -192,7 +201,9 @@
         while True:
             data = await socket.recv()
             self._heard = self._clock()
-            envelope = _decoder.decode(data)
+            envelope = _read(data, self.address)
+            if envelope is None:
+                continue
             self.data_centre = envelope.sender.data_centre
             if isinstance(envelope.body, Pong):
                 self._note_epoch(envelope.body.epoch)
@@ -285,7 +296,9 @@
             while True:
                 peer, data = await self._socket.recv_multipart()
                 self._heard_by_peer[peer] = self._clock()
-                self._take(peer, _decoder.decode(data))
+                envelope = _read(data, peer.hex())
+                if envelope is not None:
+                    self._take(peer, envelope)
         finally:
             await misc.cancel_and_wait(sweeper, *self._task_by_call.values())
             self._socket.close(linger=0)
