Count what waits before a large message into its time, and into a silence

Jobs that come together on one slow line were each given the time that they alone take, given up, and sent again: of 4 x 300 kB two failed, of 8 x 100 kB three. A job of 2.4 MB was never accepted, since its link counted as silent after 1.5 s, with the pings behind the job.

A process keeps count of what it has sent over its links for long messages, at the lowest rate. An attempt with a large message, the whole time of a job, and the silence that such a link may keep grow by what is left of it. Small messages and their links are as before.

--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -8,6 +8,7 @@
 from verbenashore.gateway import JOB_ATTEMPT_SECONDS, job_seconds
 from verbenashore.itemjobs import EndItemJob, ItemSpec, SubmitItemJob
 from verbenashore.messages import Committed
+from verbenashore.transfer import Backlog
 
 #: How long a new leader takes after the old one has frozen, in seconds.
 ELECTION = 0.42
@@ -41,6 +42,7 @@
 
     def __init__(self):
         self.now = 0.0
+        self.backlog = Backlog(lambda: self.now)
 
     def to(self, address, *, bulk=False):
         """Returns the link to a replica."""
--- a/tests/test_slowlines.py
+++ b/tests/test_slowlines.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 
 from tests.gateways import gateway
@@ -134,3 +135,66 @@
     job_of = jobs.Job(None, items=items)
     sizes = [len(jobs.item_views(job_of, 0, 3, limit).items) for limit in (0, 10, 100, 200)]
     assert sizes == [3, 1, 1, 2]
+
+
+def test_a_job_that_is_sent_for_longer_than_a_link_may_be_silent_is_accepted():
+    assert asyncio.run(submit(2_400_000)) == 1
+
+
+@pytest.mark.parametrize(("jobs", "size"), [(4, 300_000), (8, 100_000)])
+def test_large_jobs_that_come_together_are_each_sent_once(jobs, size):
+    proposed = []
+
+    async def lead(envelope, reply):
+        proposed.append(envelope.body.command.job)
+        reply(Committed(SubmitResult(True, False, 0)), True)
+
+    async def play():
+        async with behind_a_slow_line(lead, follow, follow) as (links, places):
+            client = GroupClient(0, links, places, asyncio.get_running_loop().time)
+
+            async def submit(number):
+                given = msgspec.structs.replace(job(size), job=f"j{number}")
+                seconds = job_seconds(given, PATIENCE)
+                return await client.propose(given, seconds, JOB_ATTEMPT_SECONDS)
+
+            answers = await asyncio.gather(
+                *(submit(number) for number in range(jobs)), return_exceptions=True
+            )
+            return [a for a in answers if isinstance(a, Exception)]
+
+    failed = asyncio.run(play())
+    assert (len(failed), len(proposed)) == (0, jobs)
+
+
+@pytest.mark.parametrize(("readers", "size"), [(1, 450_000), (6, 450_000)])
+def test_results_that_are_read_together_come_from_the_replica_nearby(readers, size):
+    book = ItemJobBook()
+    itemjobs.submit(book, job(size), 0.0)
+    state = book.job_by_id["j"]
+    for item in range(10):
+        done = Attempt("j", item, Outcome.COMPLETED, "x" * (size // 10))
+        itemjobs.record(book, RecordAttempts([done]))
+    sent = []
+
+    async def answer(envelope, reply):
+        page = itemjobs.page(state, envelope.body.first)
+        sent.append(sum(len(result.text) for result in page.results))
+        reply(page, True)
+
+    async def play():
+        async with (
+            behind_a_slow_line(answer, answer) as (_, addresses),
+            gateway(addresses) as entry,
+        ):
+            entry._near = addresses[0]
+
+            async def read():
+                results = []
+                while len(results) < 10:
+                    results += (await entry.read_results("j", len(results), 0.0)).results
+
+            return await asyncio.gather(*(read() for _ in range(readers)), return_exceptions=True)
+
+    failed = [answer for answer in asyncio.run(play()) if answer]
+    assert (len(failed), sum(sent)) == (0, readers * size)
--- a/verbenashore/client.py
+++ b/verbenashore/client.py
@@ -29,7 +29,7 @@
     ReadVersion,
     Sender,
 )
-from verbenashore.transfer import PART_BYTES, AskPart
+from verbenashore.transfer import PART_BYTES, AskPart, Backlog
 from verbenashore.types import Clock, GroupId
 
 #: Calls whose answers grow with the state.
@@ -65,6 +65,7 @@
         self._context = context
         self._sender = sender
         self._clock = clock
+        self.backlog = Backlog(clock)
         self._by_address: dict[str, Link] = {}
         self._bulk_by_address: dict[str, Link] = {}
 
@@ -75,7 +76,13 @@
         """
         by_address = self._bulk_by_address if bulk else self._by_address
         if address not in by_address:
-            by_address[address] = Link(self._context, address, self._sender, self._clock)
+            by_address[address] = Link(
+                self._context,
+                address,
+                self._sender,
+                self._clock,
+                self.backlog if bulk else None,
+            )
         return by_address[address]
 
     async def keep_only(self, addresses: set[str]) -> None:
@@ -158,6 +165,8 @@
             address = self._leader
             # Its answer may be larger than what comes in that time, and would never come.
             longer = limit * 2 ** unanswered[address]
+            if size > PART_BYTES:
+                longer += self._links.backlog.seconds()
             try:
                 link = self._links.to(address, bulk=long_answer or size > PART_BYTES)
                 return await link.call(body, min(longer, left))
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -165,9 +165,12 @@
         return not self.route.repeatable or self.runs >= self.route.max_attempts
 
 
-def job_seconds(command: SubmitItemJob, patience: float) -> float:
-    """Returns the seconds for a job's commit; its caller must still be there then."""
-    sending = transfer.seconds_for(command)
+def job_seconds(command: SubmitItemJob, patience: float, backlog: float = 0.0) -> float:
+    """Returns the seconds for a job's commit; its caller must still be there then.
+
+    :param backlog: seconds that what was sent before still takes.
+    """
+    sending = backlog + transfer.seconds_for(command)
     return min(JOB_SECONDS + JOB_SENDINGS * sending, patience * LATE_SHARE)
 
 
@@ -299,10 +302,10 @@
     ) -> None:
         """Answers one online call by a backend server's answer.
 
+        :param arrived_at: when it came, if that isn't now; its caller's patience began then.
         :raises OverloadedError: the call was refused, and did not run.
         :raises DeadlineError: its time was over.
         :raises OutcomeUnknownError: it may have run, and there is no answer.
-        :param arrived_at: when it came, if that isn't now; its caller's patience began then.
         :raises ConnectionResetError: its answer has begun and can't be ended.
         """
         now = self._clock() if arrived_at is None else arrived_at
@@ -350,7 +353,7 @@
         :param patience: seconds that the caller waits.
         :raises UnavailableError: if that isn't known; the job may be accepted.
         """
-        seconds = job_seconds(command, patience)
+        seconds = job_seconds(command, patience, self._process.links.backlog.seconds())
         result: Any = await self.control.propose(command, seconds, JOB_ATTEMPT_SECONDS)
         event = Event.JOB_ACCEPTED if result.accepted else Event.JOB_REFUSED
         logs.info(
@@ -601,14 +604,14 @@
         while True:
             if self._list.is_stale:
                 await self._list.read()
+                # What was read here may differ from the version that was fetched.
+                self._view.fetcher.forget(Document.BACKENDS)
             await asyncio.sleep(LIST_LOOK_SECONDS * self._random.uniform(0.5, 1.5))
 
     def _on_reply(self, reply: HeartbeatReply) -> None:
         if reply.backends_version >= 0:
             self._list_read_at = self._clock() - reply.backends_age
             if reply.backends_version == self._view.fetcher.held(Document.BACKENDS):
-                # What was read here may differ from the version that was fetched.
-                self._view.fetcher.forget(Document.BACKENDS)
                 self._list.confirm(self._list_read_at)
         self._set_peers(reply.reports_to)
         self._near = reply.near
--- a/verbenashore/link.py
+++ b/verbenashore/link.py
@@ -10,7 +10,7 @@
 import zmq
 import zmq.asyncio
 
-from verbenashore import exceptions, logs, misc
+from verbenashore import exceptions, logs, misc, transfer
 from verbenashore.exceptions import LinkSilentError, VerbenaError
 from verbenashore.logs import Event
 from verbenashore.messages import (
@@ -101,6 +101,8 @@
 
     :param address: ``IP:PORT`` of the process.
     :param sender: returns what every message says of this process.
+    :param backlog: what the process has sent over all its links for long messages; None if this
+        is none of them.
     """
 
     def __init__(
@@ -109,6 +111,7 @@
         address: str,
         sender: Callable[[], Sender],
         clock: Clock,
+        backlog: transfer.Backlog | None = None,
     ) -> None:
         self.address = address
         #: Where the peer runs, by its newest message; "" while it has sent none.
@@ -121,6 +124,7 @@
         self._given_up_by_call: dict[int, tuple[str, float]] = {}
         self._socket = self._connect()
         self._heard = clock()
+        self._backlog = backlog
         self._epoch = ""
         self._tasks: set[asyncio.Task[Any]] = set()
         self._receiver = misc.spawn(self._receive(self._socket), self._tasks)
@@ -195,6 +199,8 @@
 
     def _send(self, number: int, body: Body) -> None:
         data = _encoder.encode(Envelope(number, True, self._sender(), body))
+        if self._backlog is not None:
+            self._backlog.add(len(data))
         _send_now(self._socket, [data])
 
     async def _receive(self, socket: zmq.asyncio.Socket) -> None:
@@ -242,7 +248,11 @@
         while True:
             self._send(0, Ping())
             await asyncio.sleep(PING_SECONDS)
-            if self._clock() - self._heard > SILENT_SECONDS:
+            limit = SILENT_SECONDS
+            if self._backlog is not None:
+                # A ping waits behind what was sent before it.
+                limit += self._backlog.seconds()
+            if self._clock() - self._heard > limit:
                 await self._replace()
 
     async def _replace(self) -> None:
--- a/verbenashore/transfer.py
+++ b/verbenashore/transfer.py
@@ -109,6 +109,22 @@
     return seconds(size_of(message), rate)
 
 
+class Backlog:
+    """How long what this process has sent lately still takes on its line, at the lowest rate."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._until = clock()
+
+    def add(self, size: int) -> None:
+        """Notes a message of some bytes."""
+        self._until = max(self._until, self._clock()) + seconds(size)
+
+    def seconds(self) -> float:
+        """Returns the seconds that are left."""
+        return max(0.0, self._until - self._clock())
+
+
 def pack(data: bytes) -> bytes:
     """Returns a document as it travels."""
     return zlib.compress(data, COMPRESSION_LEVEL)
