--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -6,7 +6,8 @@
 from msgspec import structs
 
 from tests.gateways import gateway, process, relay_settings
-from verbenashore import routing, transfer
+from tests.platforms import own_address
+from verbenashore import httpserver, routing, transfer
 from verbenashore.backendcall import Call
 from verbenashore.control import ApplyVersion
 from verbenashore.directory import BackendEntry
@@ -18,6 +19,7 @@
 from verbenashore.replica import ReplicaRunner
 from verbenashore.replication import Timing
 from verbenashore.routing import Route, RouteKind, RouteTable, Share
+from verbenashore.settings import parse_address
 from verbenashore.types import CONTROL_GROUP
 
 ROUTE = Route("r", "h", "/l/", RouteKind.REPEATABLE, 5.0, 0.5, (Share("s", 1),))
@@ -171,3 +173,28 @@
             assert entry.clock() - came < patience + 0.2
 
     asyncio.run(play())
+
+
+def test_a_long_head_is_not_called_too_large_before_the_limits_are_known():
+    async def play():
+        async with gateway() as entry:
+            address = own_address()
+            place = parse_address(address)
+
+            async def handle(_request, respond):
+                await respond.json(503, {})
+
+            ended = asyncio.Event()
+            serving = asyncio.create_task(
+                httpserver.serve(address, handle, ended, asyncio.Event(), entry.tuning)
+            )
+            await asyncio.sleep(0.2)
+            reader, writer = await asyncio.open_connection(place.host, place.port)
+            writer.write(b"GET / HTTP/1.1\r\nhost: h\r\nx: " + b"y" * 100_000 + b"\r\n\r\n")
+            status = (await reader.readuntil(b"\r\n"))[9:12]
+            writer.close()
+            ended.set()
+            await serving
+            assert status == b"503"
+
+    asyncio.run(play())
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -36,7 +36,7 @@
 from verbenashore.prober import Prober
 from verbenashore.process import Process
 from verbenashore.returning import ReturningCallers
-from verbenashore.routing import Route, RouteIndex, RouteKind, RouteTable
+from verbenashore.routing import CallerLimits, Route, RouteIndex, RouteKind, RouteTable
 from verbenashore.transfer import Document
 from verbenashore.types import (
     CONTROL_GROUP,
@@ -66,6 +66,9 @@
 #: callers are told; spread over the second part so that they don't return at once.
 START_SECONDS = 0.8
 START_SPREAD_SECONDS = 0.8
+#: Bytes of a head that are read before the operators' limit is known, so that the caller is told to
+#: come back; far above what they allow.
+START_HEADER_BYTES = 256 << 10
 #: Servers that may refuse one call without running it.
 MAX_REFUSALS = 4
 #: Seconds for each replica that a heartbeat is sent to; the answer needs no disk.
@@ -186,7 +189,7 @@
         self._clock = self.clock = running.clock
         self._dialect: Dialect = given.dialect
         self._reports = given.reports
-        self.tuning = Tuning()
+        self.tuning = Tuning(CallerLimits(header_bytes=START_HEADER_BYTES))
         self.control = GroupClient(CONTROL_GROUP, running.links, seeds, running.clock)
         self.routes = RouteIndex(RouteTable())
         self._view = SystemView(
--- a/verbenashore/routing.py
+++ b/verbenashore/routing.py
@@ -89,7 +89,7 @@
     :param idle_seconds: between two requests on one connection.
     """
 
-    header_bytes: int = 256 << 10
+    header_bytes: int = 32 << 10
     body_bytes: int = 64 << 20
     header_seconds: float = 10.0
     idle_seconds: float = 75.0
