Sync what a killed process had written before a replica counts on it

Cause: a process that is killed between a write and its sync leaves the write with the system, not on the disk. After its start the replica read those entries, counted them as synced, and went on behind them in a new segment; the loss of power then took them. What it had acknowledged of them would have been lost as well.

Opening a folder now syncs its newest segment, the only one that can end in such a write.

The test was red before: the segment was not among what had been synced.

--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,5 +1,7 @@
 """The data folder: what is synced lasts, torn tails are cut, damage is not papered over."""
 
+import os
+
 import pytest
 
 from tests.group import entry
@@ -143,3 +145,25 @@
     monkeypatch.setattr(storage, "_sync_directory", lambda path: (synced.append(path), sync(path)))
     reopen(tmp_path / "data" / "group-0")
     assert {tmp_path, tmp_path / "data", tmp_path / "data" / "group-0"} <= set(synced)
+
+
+def test_what_a_killed_process_had_written_lasts_once_it_was_read(tmp_path, monkeypatch):
+    folder, _ = storage.open_folder(tmp_path)
+
+    def killed(_descriptor):
+        raise OSError("killed before the sync")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(storage.os, "fdatasync", killed)
+        with pytest.raises(StorageError):
+            storage.write(folder, None, [entry(1, 3)])
+    written = max(tmp_path.glob("log-*")).stat().st_ino
+    storage.close(folder)
+    synced = []
+    fsync = storage.os.fsync
+    monkeypatch.setattr(
+        storage.os, "fsync", lambda number: (synced.append(os.fstat(number).st_ino), fsync(number))
+    )
+    _, loaded = storage.open_folder(tmp_path)
+    assert [found.index for found in loaded.entries] == [1]
+    assert written in synced
--- a/verbenashore/storage.py
+++ b/verbenashore/storage.py
@@ -75,6 +75,7 @@
         snapshot = _read_snapshot(path)
         loaded = Loaded(HardState(), snapshot, [], 0)
         _read_segments(folder, loaded)
+        _sync_last_segment(path)
         folder.hard = loaded.hard
         _start_segment(folder)
     except OSError as error:
@@ -258,6 +259,13 @@
     return records
 
 
+def _sync_last_segment(path: Path) -> None:
+    """Syncs what a killed process had written and not synced, since it counts from now on."""
+    for last in _segments(path)[-1:]:
+        with last.open("r+b") as stream:
+            os.fsync(stream.fileno())
+
+
 def _cut_tail(file: Path, data: bytes, offset: int, is_last: bool) -> None:
     """Cuts a torn write off; damage that a later write follows is an error.
 
