Exchange reports of load along a tree instead of from each member to each

Cause: each of 59 entries sent its report to 59 others, up to 50 times a second, and every choice of a server added up all reports: messages grew with the square of the fleet.

Change: a member exchanges reports with one parent and at most 16 children in its data centre (loadtree.py, without I/O); reports carry sums over the other neighbours. The load table keeps the sums by server. Reports of earlier builds are read and not counted.

--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -25,7 +25,7 @@
     UnavailableError,
     VerbenaError,
 )
-from verbenashore.gossip import LoadReporter
+from verbenashore.gossip import LoadReporter, node_of
 from verbenashore.httpserver import Responder, ServerLimits
 from verbenashore.itemjobs import ResultsPage, SubmitItemJob, SubmitResult
 from verbenashore.ledgerrelay import RelaySettings
@@ -42,7 +42,6 @@
     CONTROL_GROUP,
     BackendName,
     JobId,
-    MemberName,
     MemberRole,
     MemberState,
 )
@@ -195,7 +194,6 @@
         self._process = process
         self._clock = self.clock = process.clock
         self._dialect: Dialect = relay_settings.dialect
-        self._reports_address = relay_settings.reports_address
         self.server_limits = ServerLimits(CallerLimits(header_bytes=START_HEADER_BYTES))
         self.control = GroupClient(CONTROL_GROUP, process.links, seeds, process.clock)
         self.routes = RouteIndex(RouteTable())
@@ -209,6 +207,7 @@
             HEARTBEAT_ATTEMPT_SECONDS,
         )
         self._view.on_change.append(self._on_configuration_change)
+        self._view.on_change.append(self._on_members_change)
         self._view.on_reply.append(self._on_heartbeat_reply)
         self._view.fetcher.set_handler(Document.BACKENDS, self._install_backends)
         self._load_table = LoadTable()
@@ -236,7 +235,7 @@
         )
         self._load_reporter = LoadReporter(
             self._load_table,
-            process.name,
+            node_of(process.name, relay_settings.reports_address, settings.data_centre),
             process.incarnation,
             process.clock,
             self._on_report,
@@ -262,7 +261,7 @@
         )
         self._process.start_task(serving)
         self._process.start_task(self._view.run())
-        self._process.start_task(self._load_reporter.run(self._reports_address))
+        self._process.start_task(self._load_reporter.run())
         self._process.start_task(self._refresh_stale_list())
         self._process.start_task(self._prober.run())
         self._process.start_task(self._call_queue.run())
@@ -675,22 +674,23 @@
             self._list_read_at = self._clock() - reply.backends_age
             if reply.backends_version == self._view.fetcher.fetched_version(Document.BACKENDS):
                 self._list_updater.confirm(self._list_read_at)
-        self._set_peers(reply.report_address)
         self._nearby_address = reply.nearby_replica
         self._wake_route_waiters()
 
     def _install_backends(self, _version: int, data: bytes) -> None:
         self._list_updater.install_document(data, self._list_read_at)
 
-    def _set_peers(self, leader_address: str) -> None:
-        members: dict[MemberName, Any] = self._view.members
-        peers = {member.address for member in members.values() if member.role is MemberRole.ENTRY}
-        self._load_reporter.peers = (peers | {leader_address}) - {self._reports_address, ""}
+    def _on_members_change(self) -> None:
+        members = self._view.members.values()
+        self._load_reporter.set_members(
+            member for member in members if member.role is MemberRole.ENTRY
+        )
 
     def _on_report(self, report: Report | None) -> None:
         if report is not None:
             self._prober.record_suspects(report)
-        self._call_queue.wake()
+        if self._dispatcher.waiting:
+            self._call_queue.wake()
 
     def _on_health_change(self) -> None:
         self._load_reporter.mark_changed()
--- a/verbenashore/gossip.py
+++ b/verbenashore/gossip.py
@@ -1,64 +1,83 @@
-"""Exchanges reports of load with the other members by datagrams.
+"""Exchanges reports of load with the neighbours in the load tree by datagrams.
 
-Each report is complete: it holds the member's calls at each backend server, its waiting online
-calls, and the servers that it found unreachable.  It replaces that member's previous report, so a
-lost datagram only delays an update.
+Each report is complete and replaces the sender's previous one, so a lost datagram only delays an
+update.
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import msgspec
 
 from verbenashore import logs, misc
 from verbenashore.dispatch import Dispatcher
-from verbenashore.loadtable import LoadTable, Report
+from verbenashore.loadtable import LoadTable, Position, Report
+from verbenashore.loadtree import KEEPALIVE_SECONDS, LoadTree, Node, OwnLoad
 from verbenashore.logs import Event
+from verbenashore.messages import Member
 from verbenashore.settings import parse_address
 from verbenashore.types import Clock, MemberName
 
-#: Shortest time between two reports; changes within it are sent in one report.
+#: Shortest time between two exchanges; changes within it are sent in one report.
 MIN_INTERVAL_SECONDS = 0.02
-#: Longest time between two reports: several may be lost in a row before a member's load expires.
-MAX_INTERVAL_SECONDS = 0.5
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Report)
 
 
+def node_of(name: MemberName, address: str, data_centre: str, passes_on_last: bool = False) -> Node:
+    """Returns a member's node in the load tree.
+
+    :param address: ``IP:PORT`` on which the member receives reports.
+    :param passes_on_last: true for a member that other work keeps busy.
+    """
+    parsed = parse_address(address)
+    position = Position(data_centre, passes_on_last, misc.quick_hash(name))
+    return Node(name, (parsed.host, parsed.port), position)
+
+
 class LoadReporter(asyncio.DatagramProtocol):
     """Sends and receives reports of load over one UDP socket.
 
+    :param own: this member.
     :param on_report: called with another member's report after it is added to the load table, and
         with None when the reports of a member have expired.
     :param dispatcher: provides this member's waiting calls and the servers that it suspects.
+    :param takes_part: returns whether this member has calls of its own to report.
     """
 
     def __init__(
         self,
         load_table: LoadTable,
-        member: MemberName,
+        own: Node,
         incarnation: str,
         clock: Clock,
         on_report: Callable[[Report | None], None],
         dispatcher: Dispatcher,
+        takes_part: Callable[[], bool] = lambda: True,
     ) -> None:
         self._load_table = load_table
-        self._member = member
+        self._own = own
         # Reports are sent often and kept short: eight hex digits are enough to distinguish two
         # starts of a member.
-        self._incarnation = f"{misc.quick_hash(incarnation):016x}"[:8]
+        self._tree = LoadTree(own, f"{misc.quick_hash(incarnation):016x}"[:8], load_table)
         self._clock = clock
         self._on_report = on_report
         self._dispatcher = dispatcher
-        self._report_number = 0
+        self._takes_part = takes_part
         self._changed = asyncio.Event()
         self._transport: asyncio.DatagramTransport | None = None
-        self.peers: set[str] = set()
+        self._parent: MemberName | None = None
+
+    def set_members(self, members: Iterable[Member]) -> None:
+        """Replaces the members that may be this one's parent."""
+        self._tree.set_nodes(
+            node_of(member.name, member.address, member.data_centre) for member in members
+        )
 
     def mark_changed(self) -> None:
-        """Sends a report soon."""
+        """Sends reports soon."""
         self._changed.set()
 
     def connection_made(self, transport: Any) -> None:
@@ -67,58 +86,68 @@
 
     def datagram_received(self, data: bytes, address: Any) -> None:
         """Adds a report of another member to the load table."""
+        if not self._takes_part():
+            return
         try:
             report = _decoder.decode(data)
         except msgspec.DecodeError as error:
             logs.warning(Event.REPORT_UNREADABLE, peer=str(address), error=str(error))
             return
-        if report.member != self._member and self._load_table.record_report(report, self._clock()):
+        if self._tree.receive(report, address, self._clock()):
+            if self._tree.children:
+                self.mark_changed()
             self._on_report(report)
 
     def error_received(self, error: Exception) -> None:
-        """Ignores that a peer's port is closed; heartbeats detect the loss of a member."""
-
-    async def run(self, address: str) -> None:
-        """Sends reports until it is cancelled; the last one states that this member has no calls.
+        """Ignores that a peer's port is closed; a silent parent is replaced."""
 
-        :param address: ``IP:PORT`` to listen on.
-        """
-        local_address = parse_address(address)
+    async def run(self) -> None:
+        """Sends reports until it is cancelled; the last ones say that this member leaves."""
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(local_address.host, local_address.port)
-        )
+        await loop.create_datagram_endpoint(lambda: self, local_addr=self._own.address)
         assert self._transport is not None
         try:
             while True:
                 try:
-                    async with asyncio.timeout(MAX_INTERVAL_SECONDS):
+                    async with asyncio.timeout(KEEPALIVE_SECONDS):
                         await self._changed.wait()
                 except TimeoutError:
                     pass
                 self._changed.clear()
-                self._send_report()
-                for member in self._load_table.expire(self._clock()):
-                    logs.info(Event.REPORTS_MISSING, member=member)
-                    self._on_report(None)
+                self._exchange()
                 await asyncio.sleep(MIN_INTERVAL_SECONDS)
         finally:
             self._load_table.local_by_backend.clear()
-            self._send_report()
+            self._leave()
             self._transport.close()
 
-    def _send_report(self) -> None:
-        assert self._transport is not None
-        self._report_number += 1
-        report = Report(
-            self._member,
-            self._incarnation,
-            self._report_number,
-            self._load_table.local_by_backend,
-            self._dispatcher.suspects,
-            self._dispatcher.waiting_by_service(),
+    def _exchange(self) -> None:
+        if not self._takes_part():
+            if self._tree.parent is not None or self._tree.children:
+                self._leave()
+            return
+        now = self._clock()
+        for member in self._tree.expire(now):
+            logs.info(Event.REPORTS_MISSING, member=member)
+            self._on_report(None)
+        own = OwnLoad(
+            sorted(self._dispatcher.suspects), dict(self._dispatcher.waiting_by_service())
         )
-        data = _encoder.encode(report)
-        for peer in self.peers:
-            peer_address = parse_address(peer)
-            self._transport.sendto(data, (peer_address.host, peer_address.port))
+        for address, report in self._tree.due_reports(own, now):
+            self._send(address, report)
+        self._log_parent()
+
+    def _leave(self) -> None:
+        for address, report in self._tree.leave():
+            self._send(address, report)
+
+    def _log_parent(self) -> None:
+        if self._tree.parent != self._parent:
+            self._parent = self._tree.parent
+            logs.info(
+                Event.REPORTS_REROUTED, parent=self._parent or "", children=len(self._tree.children)
+            )
+
+    def _send(self, address: tuple[str, int], report: Report) -> None:
+        assert self._transport is not None
+        self._transport.sendto(_encoder.encode(report), address)
--- a/verbenashore/ledger.py
+++ b/verbenashore/ledger.py
@@ -84,7 +84,6 @@
     GroupId,
     JobState,
     MemberName,
-    MemberRole,
     ReplicaId,
 )
 
@@ -398,12 +397,8 @@
         reply = members.record_heartbeat(table, body, change, now)
         if self._ledger_relay is None:
             return reply
-        entries = {
-            member.address
-            for member in self._members.by_name.values()
-            if member.role is MemberRole.ENTRY
-        }
-        return self._ledger_relay.complete_heartbeat_reply(reply, body, entries)
+        self._ledger_relay.set_members(table)
+        return self._ledger_relay.complete_heartbeat_reply(reply, body)
 
     def _member_table(self, runner: ReplicaRunner) -> members.MemberTable:
         """Returns the members of the leader's term; a new term starts with a new table."""
--- a/verbenashore/ledgerrelay.py
+++ b/verbenashore/ledgerrelay.py
@@ -10,17 +10,18 @@
 from verbenashore.directory import Directory
 from verbenashore.dispatch import Dispatcher
 from verbenashore.exceptions import NotFoundError
-from verbenashore.gossip import LoadReporter
+from verbenashore.gossip import LoadReporter, node_of
 from verbenashore.itemjobs import ItemJob, ResultsPage
 from verbenashore.jobrunner import JobRunner
 from verbenashore.listing import READ_INTERVAL_SECONDS, BackendListUpdater, Fetch
 from verbenashore.loadtable import LoadTable, Report
+from verbenashore.members import MemberTable
 from verbenashore.messages import Heartbeat, HeartbeatReply, ItemBody, ReadItemBody, ReadResults
 from verbenashore.prober import Prober
 from verbenashore.process import Process
 from verbenashore.replica import ReplicaRunner
 from verbenashore.routing import RouteIndex, RouteTable
-from verbenashore.types import JobId
+from verbenashore.types import JobId, MemberRole
 
 #: Longest time in seconds for which a read of results waits for a further result.
 MAX_RESULT_WAIT_SECONDS = 5.0
@@ -53,6 +54,7 @@
         self._replica_runner = replica_runner
         self._routes = RouteIndex(RouteTable())
         self._state_changed = asyncio.Event()
+        self._members_version = -1
         self._load_table = LoadTable()
         self._directory = Directory()
         # Members compare versions to see changes, so those of different leaders must differ.
@@ -82,11 +84,17 @@
         )
         self._load_reporter = LoadReporter(
             self._load_table,
-            process.name,
+            node_of(
+                process.name,
+                relay_settings.reports_address,
+                settings.data_centre,
+                passes_on_last=True,
+            ),
             process.incarnation,
             process.clock,
             self._on_report,
             dispatcher,
+            lambda: replica_runner.serving,
         )
         self._list_updater = BackendListUpdater(
             self._directory,
@@ -99,7 +107,7 @@
 
     def start(self, process: Process) -> None:
         """Starts the load reports, item jobs, probes and list reads as tasks of the process."""
-        process.start_task(self._load_reporter.run(self._relay_settings.reports_address))
+        process.start_task(self._load_reporter.run())
         process.start_task(self._job_runner.run())
         process.start_task(self._prober.run())
         process.start_task(self._read_list_while_leading())
@@ -114,13 +122,9 @@
         return self._list_updater.document()
 
     def complete_heartbeat_reply(
-        self, reply: HeartbeatReply, heartbeat: Heartbeat, peers: set[str]
+        self, reply: HeartbeatReply, heartbeat: Heartbeat
     ) -> HeartbeatReply:
-        """Returns a heartbeat reply, completed with the fields that relaying members need.
-
-        :param peers: the addresses to which this process sends its load reports.
-        """
-        self._load_reporter.peers = peers
+        """Returns a heartbeat reply, completed with the fields that relaying members need."""
         return msgspec.structs.replace(
             reply,
             backends_version=self._list_updater.version,
@@ -130,6 +134,14 @@
             nearby_replica=self._nearby_replica(heartbeat.member.data_centre),
         )
 
+    def set_members(self, table: MemberTable) -> None:
+        """Tells this process's load reports of the live entries, unless they know them already."""
+        if self._members_version != table.version:
+            self._members_version = table.version
+            self._load_reporter.set_members(
+                member for member in table.by_name.values() if member.role is MemberRole.ENTRY
+            )
+
     def _nearby_replica(self, data_centre: str) -> str:
         """Returns the address of a replica in a data centre, or "" if none is known there.
 
--- a/verbenashore/loadtable.py
+++ b/verbenashore/loadtable.py
@@ -1,4 +1,6 @@
-"""The load of each backend server, from the reports that all members sending to it exchange."""
+"""The load of each backend server, from the reports of the members that send calls to it."""
+
+from collections import Counter
 
 import msgspec
 
@@ -8,10 +10,13 @@
 #: calls of a frozen or partitioned member keep running on the servers for seconds.  A killed member
 #: needs no shorter time: it restarts earlier, and its new report replaces the old one.
 REPORT_SECONDS = 4.0
+#: Seconds without a report after which the calls that a member passed on no longer count.  Short,
+#: because their own members report them by another way as soon as that one is silent.
+RELAYED_SECONDS = 0.5
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
-    """The calls of one member at one backend server.
+    """The calls of some members at one backend server.
 
     :param online: calls of callers who wait.
     :param batch: running items of item jobs, which yield to online calls.
@@ -21,13 +26,32 @@
     batch: int = 0
 
 
+class Position(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """A member's rank in the tree of :mod:`verbenashore.loadtree`; parents rank before children.
+
+    :param passes_on_last: true for a member that other work keeps busy.
+    :param hash: spreads the work over the members of a data centre.
+    """
+
+    data_centre: str = ""
+    passes_on_last: bool = False
+    hash: int = 0
+
+
 class Report(msgspec.Struct, frozen=True, array_like=True):
-    """The complete load of one member; it replaces that member's older reports.
+    """What one member tells another of the load; it replaces that member's older reports.
 
     :param incarnation: differs for every start of the member.
     :param number: increases with every report of an incarnation.
+    :param load_by_backend: the member's own calls.
     :param suspects: servers that the member found unreachable.
     :param waiting_by_service: its online calls that wait for a slot.
+    :param relayed_by_backend: the calls of further members that it passes on; those of the
+        recipient are not among them.
+    :param relayed_suspects: the servers that they found unreachable.
+    :param relayed_waiting_by_service: their online calls that wait for a slot.
+    :param to_parent: true if the member takes the recipient for its parent in the tree.
+    :param leaving: true if the recipient is to forget the member.
     """
 
     member: MemberName
@@ -36,6 +60,12 @@
     load_by_backend: dict[BackendName, Load]
     suspects: list[BackendName] = msgspec.field(default_factory=list)
     waiting_by_service: dict[ServiceName, int] = msgspec.field(default_factory=dict)
+    relayed_by_backend: dict[BackendName, Load] = msgspec.field(default_factory=dict)
+    relayed_suspects: list[BackendName] = msgspec.field(default_factory=list)
+    relayed_waiting_by_service: dict[ServiceName, int] = msgspec.field(default_factory=dict)
+    position: Position = Position()
+    to_parent: bool = False
+    leaving: bool = False
 
 
 class ReceivedReport(msgspec.Struct):
@@ -46,20 +76,21 @@
 
 
 class LoadTable:
-    """The calls of this member and of all peers, by backend server."""
+    """The calls of this member and of all others, by backend server.
+
+    The sums over the reports are updated with each report, so that reading them costs the same
+    however many members there are.
+    """
 
     def __init__(self) -> None:
         self.local_by_backend: dict[BackendName, Load] = {}
         self.received_by_member: dict[MemberName, ReceivedReport] = {}
+        self._remote_by_backend: dict[BackendName, Load] = {}
+        self._remote_waiting_by_service: Counter[ServiceName] = Counter()
 
     def add(self, backend: BackendName, online: int = 0, batch: int = 0) -> None:
         """Changes the numbers of this member's own calls; negative numbers remove calls."""
-        before = self.local_by_backend.get(backend, Load())
-        after = Load(before.online + online, before.batch + batch)
-        if after == Load():
-            self.local_by_backend.pop(backend, None)
-        else:
-            self.local_by_backend[backend] = after
+        _add(self.local_by_backend, backend, Load(online, batch))
 
     def record_report(self, report: Report, now: float) -> bool:
         """Records a report; returns False if it isn't newer than the last of that incarnation."""
@@ -69,33 +100,99 @@
         )
         if previous is not None and same_incarnation and report.number <= previous.report.number:
             return False
-        self.received_by_member[report.member] = ReceivedReport(report, now)
+        self._replace(report.member, ReceivedReport(report, now))
         return True
 
     def expire(self, now: float) -> list[MemberName]:
-        """Drops and returns the members whose last report is too old."""
-        expired = [
-            member
-            for member, received in self.received_by_member.items()
-            if now - received.received_at > REPORT_SECONDS
-        ]
-        for member in expired:
-            del self.received_by_member[member]
+        """Drops the reports that are too old; returns the members that no longer count at all."""
+        expired = []
+        for member, received in list(self.received_by_member.items()):
+            age = now - received.received_at
+            if age > REPORT_SECONDS:
+                self.forget(member)
+                expired.append(member)
+            elif age > RELAYED_SECONDS:
+                own = _without_relayed(received.report)
+                if own != received.report:
+                    self._replace(member, ReceivedReport(own, received.received_at))
         return expired
 
+    def forget(self, member: MemberName) -> None:
+        """Drops the report of a member."""
+        self._replace(member, None)
+
     def total(self, backend: BackendName) -> Load:
         """Returns the calls of all members at one backend server."""
-        loads = [
-            received.report.load_by_backend[backend]
-            for received in self.received_by_member.values()
-            if backend in received.report.load_by_backend
-        ]
-        loads.append(self.local_by_backend.get(backend, Load()))
-        return Load(sum(load.online for load in loads), sum(load.batch for load in loads))
+        remote = self._remote_by_backend.get(backend)
+        local = self.local_by_backend.get(backend)
+        if remote is None or local is None:
+            return remote or local or NO_LOAD
+        return Load(remote.online + local.online, remote.batch + local.batch)
 
     def remote_waiting(self, service: ServiceName) -> int:
-        """Returns the number of calls that wait for a service at the peers."""
-        return sum(
-            received.report.waiting_by_service.get(service, 0)
-            for received in self.received_by_member.values()
-        )
+        """Returns the number of calls that wait for a service at other members."""
+        return self._remote_waiting_by_service[service]
+
+    def relayed_load(self, member: MemberName) -> dict[BackendName, Load]:
+        """Returns the calls of all other members but one and those that it passed on."""
+        by_backend = dict(self._remote_by_backend)
+        received = self.received_by_member.get(member)
+        if received is not None:
+            _subtract_report(by_backend, received.report)
+        return by_backend
+
+    def relayed_waiting(self, member: MemberName) -> dict[ServiceName, int]:
+        """Returns the waiting calls of the members that :meth:`relayed_load` covers."""
+        waiting = Counter(self._remote_waiting_by_service)
+        received = self.received_by_member.get(member)
+        if received is not None:
+            waiting.subtract(received.report.waiting_by_service)
+            waiting.subtract(received.report.relayed_waiting_by_service)
+        return dict(+waiting)
+
+    def relayed_suspects(self, member: MemberName) -> list[BackendName]:
+        """Returns the servers that the members that :meth:`relayed_load` covers can't reach."""
+        suspects: set[BackendName] = set()
+        for name, received in self.received_by_member.items():
+            if name != member:
+                suspects.update(received.report.suspects, received.report.relayed_suspects)
+        return sorted(suspects)
+
+    def _replace(self, member: MemberName, received: ReceivedReport | None) -> None:
+        previous = self.received_by_member.pop(member, None)
+        if previous is not None:
+            _subtract_report(self._remote_by_backend, previous.report)
+            self._remote_waiting_by_service.subtract(previous.report.waiting_by_service)
+            self._remote_waiting_by_service.subtract(previous.report.relayed_waiting_by_service)
+        if received is None:
+            return
+        self.received_by_member[member] = received
+        for loads in (received.report.load_by_backend, received.report.relayed_by_backend):
+            for backend, load in loads.items():
+                _add(self._remote_by_backend, backend, load)
+        self._remote_waiting_by_service.update(received.report.waiting_by_service)
+        self._remote_waiting_by_service.update(received.report.relayed_waiting_by_service)
+
+
+NO_LOAD = Load()
+
+
+def _add(by_backend: dict[BackendName, Load], backend: BackendName, load: Load) -> None:
+    before = by_backend.get(backend, NO_LOAD)
+    online, batch = before.online + load.online, before.batch + load.batch
+    if online or batch:
+        by_backend[backend] = Load(online, batch)
+    else:
+        by_backend.pop(backend, None)
+
+
+def _subtract_report(by_backend: dict[BackendName, Load], report: Report) -> None:
+    for loads in (report.load_by_backend, report.relayed_by_backend):
+        for backend, load in loads.items():
+            _add(by_backend, backend, Load(-load.online, -load.batch))
+
+
+def _without_relayed(report: Report) -> Report:
+    return msgspec.structs.replace(
+        report, relayed_by_backend={}, relayed_suspects=[], relayed_waiting_by_service={}
+    )
--- a/verbenashore/messages.py
+++ b/verbenashore/messages.py
@@ -252,6 +252,7 @@
     :param backends_age: seconds since the leader read the list; negative if it never did.
     :param ledgers: the addresses of the group's replicas.
     :param report_address: address at which the leader receives reports of load; "" if it has none.
+        Read by members of earlier builds only.
     :param nearby_replica: address of a replica in the member's data centre; "" if there is none.
     """
 
--- a/verbenashore/prober.py
+++ b/verbenashore/prober.py
@@ -49,9 +49,9 @@
             self._record_failure(name, backendcall.failure_kind(error))
 
     def record_suspects(self, report: Report) -> None:
-        """Records the suspects of another member's report that its previous report didn't have."""
+        """Records the suspects that a member reports or passes on, unless it has before."""
         previous = self._suspects_by_member.get(report.member, frozenset())
-        suspects = frozenset(report.suspects)
+        suspects = frozenset((*report.suspects, *report.relayed_suspects))
         self._suspects_by_member[report.member] = suspects
         for name in suspects - previous:
             self._record_failure(name, FailureKind.REPORTED)
