Keep ledger processes that a group doesn't need outside of it

Change: the group has its voters, half as many spare learners and a replica in each data centre (repair.is_needed); the others stand by, ask again every 0.75 s, name the leader to callers, and save the replicas' addresses on disk. They can be retired. A retirement asked for within 2.5 s of an election of a process that isn't known yet is answered 503 and no longer 404.

--- a/verbenashore/ledger.py
+++ b/verbenashore/ledger.py
@@ -3,11 +3,14 @@
 import argparse
 import asyncio
 import contextlib
+import random
 import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from verbenashore import (
     consensus,
     control,
@@ -21,6 +24,7 @@
     replication,
     requests,
     settings,
+    storage,
     transfer,
 )
 from verbenashore.client import GroupClient
@@ -72,6 +76,7 @@
     ReplicaPacket,
     Retirement,
     SessionRenewed,
+    StandBy,
     StartRetirement,
 )
 from verbenashore.process import Process
@@ -91,6 +96,10 @@
 SESSION_TIMEOUT_SECONDS = 4.0
 SWEEP_INTERVAL_SECONDS = 0.25
 MEMBERSHIP_CHECK_SECONDS = 0.25
+#: Mean seconds between two requests to join of a process that stands by outside the group.
+STANDBY_CHECK_SECONDS = 0.75
+#: Seconds without such a request after which the process no longer counts as standing by.
+STANDBY_LOST_SECONDS = 2.5
 CALL_TIMEOUT_SECONDS = 0.5
 #: Seconds within which a replica must catch up with its leader to answer a read in its place.
 CATCH_UP_TIMEOUT_SECONDS = 0.2
@@ -189,6 +198,16 @@
         self.renewed_at_by_holder.clear()
 
 
+class StandbyReplica(msgspec.Struct, frozen=True):
+    """A replica that is not needed in the group now.
+
+    :param seen_at: when it last asked to join.
+    """
+
+    id: ReplicaId
+    seen_at: float
+
+
 class LedgerProcess:
     """The replicas of one process, and the calls that it answers with them."""
 
@@ -198,6 +217,10 @@
         self._clock = running.clock
         self.seeds = {str(address) for address in self._settings.seeds}
         self.known_seeds = set(self.seeds)
+        self._data_centre_by_address = {
+            settings.advertised_address(self._settings): str(self._settings.data_centre)
+        }
+        self._standby_by_name: dict[MemberName, StandbyReplica] = {}
         self._members = members.MemberTable()
         self._members_term = -1
         self._version_cache_by_document = {document: VersionCache() for document in Document}
@@ -215,6 +238,7 @@
                 self._settings.replicas,
                 self._settings.snapshot_bytes,
                 self._settings.trace,
+                self._data_centre_of,
             )
             for group in self._settings.groups
         }
@@ -226,6 +250,12 @@
             running.clock,
             transfer.LEDGER_BYTES_PER_SECOND,
         )
+        self._random = random.Random(misc.quick_hash(running.incarnation))
+        self._peers = {
+            address
+            for runner in self._runner_by_group.values()
+            for address in storage.read_peers(runner.path)
+        }
         self._ledger_relay: LedgerRelay | None = None
         if relay is not None:
             self._ledger_relay = LedgerRelay(running, self._runner_by_group[CONTROL_GROUP], relay)
@@ -267,9 +297,10 @@
 
     async def answer_call(self, envelope: Envelope, reply: Reply) -> None:
         """Handles a call and sends its result as the only reply."""
-        reply(await self._dispatch(envelope.body), True)
+        reply(await self._dispatch(envelope), True)
 
-    async def _dispatch(self, body: Body) -> Body:
+    async def _dispatch(self, envelope: Envelope) -> Body:
+        body = envelope.body
         if isinstance(body, AskStatus):
             return self._status()
         if isinstance(body, Heartbeat):
@@ -294,7 +325,7 @@
         if isinstance(body, AskApplied):
             return Applied(self._serving_runner(group).applied_index)
         if isinstance(body, JoinGroup):
-            return self._on_join(body)
+            return self._on_join(body, envelope.sender.data_centre)
         if isinstance(body, Propose):
             return await self._on_propose(body)
         if isinstance(body, RenewSession):
@@ -341,12 +372,21 @@
         peers = [*membership.voters, *membership.learners]
         retired_ids = runner.state.control.retired_by_name.get(body.name, [])
         if isinstance(body, StartRetirement) and not retired_ids:
+            standby = self._standby_replicas()
             replicas = [peer.id for peer in peers if peer.name == body.name]
+            if not replicas and body.name in standby:
+                replicas = [standby[body.name]]
+            if not replicas and self._clock() - runner.core.led_since < STANDBY_LOST_SECONDS:
+                raise UnavailableError(
+                    "not all ledger processes are known yet", step="retire", not_run=True
+                )
             if not replicas:
                 raise NotFoundError(f"no replica of {body.name!r}", step="retire", field="name")
             retired = control.retired_replicas(runner.state.control)
-            remaining = {p.name for p in peers if p.id not in retired} - {body.name}
-            if len(remaining) < runner.target_voters:
+            remaining = {p.name for p in peers if p.id not in retired} | {
+                name for name, replica in standby.items() if replica not in retired
+            }
+            if len(remaining - {body.name}) < runner.target_voters:
                 raise KeyConflictError("too few ledger processes would be left", step="retire")
             logs.info(Event.RETIREMENT_STARTED, member=body.name, replicas=replicas)
             await runner.propose(control.RetireReplicas(body.name, replicas))
@@ -361,6 +401,15 @@
             logs.info(Event.RETIREMENT_ENDED, member=body.name)
         return Retirement(ended)
 
+    def _standby_replicas(self) -> dict[MemberName, ReplicaId]:
+        """Returns the replicas by process that asked to join lately and are not needed."""
+        cutoff = self._clock() - STANDBY_LOST_SECONDS
+        return {
+            name: replica.id
+            for name, replica in self._standby_by_name.items()
+            if replica.seen_at >= cutoff
+        }
+
     def _serving_runner(self, group: GroupId) -> ReplicaRunner:
         runner = self._runner_by_group.get(group)
         if runner is None:
@@ -441,10 +490,18 @@
         relay = self._ledger_relay
         return transfer.requested_part(cache, ask, relay.backends_version, relay.backends_document)
 
-    def _on_join(self, body: JoinGroup) -> Body:
+    def _on_join(self, body: JoinGroup, data_centre: str) -> Body:
         runner = self._serving_runner(body.group)
-        runner.enqueue(JoinRequest(body.peer))
-        return files.Done()
+        self._data_centre_by_address[body.peer.address] = data_centre
+        if runner.admits(body.peer):
+            runner.enqueue(JoinRequest(body.peer))
+            return files.Done()
+        self._standby_by_name[body.peer.name] = StandbyReplica(body.peer.id, self._clock())
+        return StandBy(runner.addresses)
+
+    def _data_centre_of(self, address: str) -> str:
+        known = self._data_centre_by_address.get(address)
+        return known or self._process.links.to(address).data_centre
 
     def _read_record(self, state: machine.GroupState, body: Body) -> Body:
         if isinstance(body, ReadRequest):
@@ -482,7 +539,8 @@
 
     def _identity(self, group: GroupId) -> Identity:
         runner = self._runner_by_group[group]
-        return Identity(group, runner.peer, runner.formed, runner.leader_address)
+        formed = runner.formed or bool(runner.leader_hint)
+        return Identity(group, runner.peer, formed, runner.leader_address)
 
     def _status(self) -> LedgerStatus:
         return LedgerStatus(
@@ -503,17 +561,22 @@
         """Forms or joins the group, and rejoins it if the replica loses contact with its leader."""
         while True:
             membership = consensus.membership(runner.core)
-            if runner.group == CONTROL_GROUP and runner.addresses:
-                self.control.set_addresses(runner.addresses)
             is_member = runner.peer in (*membership.voters, *membership.learners)
             leaderless = self._clock() - runner.core.leader_contact_at > LEADERLESS_SECONDS
-            if not is_member or (leaderless and runner.core.role is not Role.LEADER):
+            if is_member and (not leaderless or runner.core.role is Role.LEADER):
+                runner.leader_hint = ""
+                if runner.group == CONTROL_GROUP:
+                    self.control.set_addresses(runner.addresses)
+            elif not (runner.leader_hint and await self._stands_by(runner, runner.leader_hint)):
                 await self._join_or_bootstrap(runner)
-            await asyncio.sleep(MEMBERSHIP_CHECK_SECONDS)
+            if runner.leader_hint:
+                await asyncio.sleep(STANDBY_CHECK_SECONDS * self._random.uniform(0.7, 1.3))
+            else:
+                await asyncio.sleep(MEMBERSHIP_CHECK_SECONDS)
 
     async def _join_or_bootstrap(self, runner: ReplicaRunner) -> None:
         addresses = {str(address) for address in self._settings.initial.values()}
-        addresses |= self.known_seeds
+        addresses |= self.known_seeds | self._peers
         membership = consensus.membership(runner.core)
         addresses |= {peer.address for peer in (*membership.voters, *membership.learners)}
         addresses.discard(settings.advertised_address(self._settings))
@@ -526,9 +589,7 @@
         formed = [identity for identity in identities if identity.formed]
         if formed:
             leaders = {identity.leader for identity in formed if identity.leader}
-            await asyncio.gather(
-                *(self._send_join_request(runner, leader) for leader in sorted(leaders))
-            )
+            await asyncio.gather(*(self._stands_by(runner, leader) for leader in sorted(leaders)))
         elif not runner.formed and self._settings.bootstrap == "yes":
             self._bootstrap_if_first(runner, identities)
 
@@ -562,10 +623,27 @@
                 return answer
         return None
 
-    async def _send_join_request(self, runner: ReplicaRunner, leader: str) -> None:
-        with contextlib.suppress(VerbenaError):
-            request = JoinGroup(runner.group, runner.peer)
-            await self._process.links.to(leader).call(request, CALL_TIMEOUT_SECONDS)
+    async def _stands_by(self, runner: ReplicaRunner, leader: str) -> bool:
+        """Asks a leader to join; returns whether it answered that this replica is not needed."""
+        try:
+            answer = await self._process.links.to(leader).call(
+                JoinGroup(runner.group, runner.peer), CALL_TIMEOUT_SECONDS
+            )
+        except VerbenaError:
+            runner.leader_hint = ""
+            return False
+        if not isinstance(answer, StandBy):
+            runner.leader_hint = ""
+            return False
+        if not runner.leader_hint:
+            logs.info(Event.STANDING_BY, group=runner.group, leader=leader)
+        runner.leader_hint = leader
+        if runner.group == CONTROL_GROUP:
+            self.control.set_addresses(answer.ledgers)
+            if self._peers != set(answer.ledgers):
+                self._peers = set(answer.ledgers)
+                await asyncio.to_thread(storage.save_peers, runner.path, answer.ledgers)
+        return True
 
     async def _sweep(self, group: GroupId, runner: ReplicaRunner) -> None:
         """Ends expired sessions, records and members while this replica leads."""
--- a/verbenashore/messages.py
+++ b/verbenashore/messages.py
@@ -67,7 +67,7 @@
 class Identity(msgspec.Struct, frozen=True, array_like=True, tag="identity"):
     """Answers :class:`AskIdentity`.
 
-    :param formed: true if the replica knows the voters of its group.
+    :param formed: true if the replica knows the voters of its group, or stands by for it.
     :param leader: the address of the group's leader; empty if it is unknown.
     """
 
@@ -84,6 +84,15 @@
     peer: replication.Peer
 
 
+class StandBy(msgspec.Struct, frozen=True, array_like=True, tag="stand_by"):
+    """Answers :class:`JoinGroup` if the group needs no more replicas.
+
+    :param ledgers: the addresses of the group's replicas.
+    """
+
+    ledgers: list[str]
+
+
 class Propose(msgspec.Struct, frozen=True, array_like=True, tag="propose"):
     """Asks a group's leader to commit a command; the answer is its result."""
 
@@ -470,6 +479,7 @@
     | AskIdentity
     | Identity
     | JoinGroup
+    | StandBy
     | Propose
     | Committed
     | RenewSession
--- a/verbenashore/repair.py
+++ b/verbenashore/repair.py
@@ -1,4 +1,11 @@
-"""Membership repair by the leader: learners replace lost voters, one change at a time."""
+"""Membership repair by the leader: learners replace lost voters, one change at a time.
+
+The log goes to the voters, to spare learners that can take their place at once, and to one replica
+in each data centre, where results are read.  All other ledger processes stand by outside the group,
+so that the leader's work doesn't grow with their number.
+"""
+
+from collections.abc import Callable
 
 from verbenashore import consensus
 from verbenashore.consensus import Replica
@@ -7,14 +14,41 @@
 
 NO_REPLICAS: frozenset[ReplicaId] = frozenset()
 
+#: Returns the data centre of the process at an address; "" if it is unknown.
+DataCentreOf = Callable[[str], str]
+
+
+def spare_count(size: int) -> int:
+    """Returns how many learners a group of some voters keeps: as many as it may lose at once."""
+    return size // 2
+
+
+def is_needed(current: Membership, peer: Peer, size: int, data_centre_of: DataCentreOf) -> bool:
+    """Returns whether a replica is to be a learner of the group, or to remain one.
+
+    :param size: how many voters the group should have.
+    """
+    others = [other for other in (*current.voters, *current.learners) if other.id != peer.id]
+    if any(other.name == peer.name for other in others):
+        return True
+    if len(others) < size + spare_count(size):
+        return True
+    data_centres = {data_centre_of(other.address) for other in others}
+    return "" not in data_centres and data_centre_of(peer.address) not in data_centres
+
 
 def next_membership(
-    replica: Replica, size: int, now: float, retired: frozenset[ReplicaId] = NO_REPLICAS
+    replica: Replica,
+    size: int,
+    now: float,
+    retired: frozenset[ReplicaId] = NO_REPLICAS,
+    data_centre_of: DataCentreOf | None = None,
 ) -> Membership | None:
     """Returns the membership after the next repair, or None if no change is due or allowed.
 
     :param size: how many voters the group should have.
     :param retired: replicas that are to be replaced although they are alive.
+    :param data_centre_of: if given, learners that the group doesn't need are removed.
     """
     current = consensus.membership(replica)
     if not consensus.may_serve(replica, now) or consensus.change_is_pending(replica):
@@ -50,9 +84,25 @@
         (peer for peer in current.learners if peer.id in retired or _is_lost(replica, peer, now)),
         None,
     )
+    if dropped is None and data_centre_of is not None and len(current.voters) == size:
+        dropped = _find_surplus(current, size, data_centre_of)
     return _without_learner(current, dropped, voters=current.voters) if dropped else None
 
 
+def _find_surplus(current: Membership, size: int, data_centre_of: DataCentreOf) -> Peer | None:
+    """Returns a learner that the group doesn't need; None while a data centre is unknown."""
+    if not all(data_centre_of(peer.address) for peer in (*current.voters, *current.learners)):
+        return None
+    return next(
+        (
+            peer
+            for peer in reversed(current.learners)
+            if not is_needed(current, peer, size, data_centre_of)
+        ),
+        None,
+    )
+
+
 def with_learner(current: Membership, learner: Peer) -> Membership:
     """Returns a membership with one more learner, which replaces any other of the same process."""
     kept = tuple(peer for peer in current.learners if peer.name != learner.name)
--- a/verbenashore/replica.py
+++ b/verbenashore/replica.py
@@ -63,6 +63,7 @@
     :param snapshot_bytes: bytes of log after which a snapshot is taken.
     :param trace: committed commands are appended to the file ``TRACE.GROUP``, where TRACE is this
         text; to none if it is empty.
+    :param data_centre_of: returns the data centre of the process at an address.
     """
 
     def __init__(
@@ -76,12 +77,17 @@
         target_voters: int,
         snapshot_bytes: int,
         trace: str,
+        data_centre_of: repair.DataCentreOf = lambda _address: "",
     ) -> None:
         self.group = group
+        self.path = path
         self.target_voters = target_voters
         self._snapshot_bytes = snapshot_bytes
         self._clock = clock
         self._send = send
+        self._data_centre_of = data_centre_of
+        #: The leader's address as told to this replica while it is not in the group; else "".
+        self.leader_hint = ""
         self._trace = Path(f"{trace}.{group}") if trace else None
         self.leader_known = asyncio.Event()
         self._applied_event = asyncio.Event()
@@ -135,6 +141,8 @@
     @property
     def leader_address(self) -> str:
         """The address of the leader; empty if it is unknown."""
+        if self.leader_hint:
+            return self.leader_hint
         membership = consensus.membership(self.core)
         peers = (*membership.voters, *membership.learners)
         return next((peer.address for peer in peers if peer.id == self.core.leader), "")
@@ -168,6 +176,16 @@
             applied = self._applied_event
             await applied.wait()
 
+    def admits(self, peer: Peer) -> bool:
+        """Returns whether the group needs a replica as a learner, or has it already."""
+        if peer.id in control.retired_replicas(self.state.control):
+            return False
+        membership = consensus.membership(self.core)
+        is_member = any(p.id == peer.id for p in (*membership.voters, *membership.learners))
+        return is_member or repair.is_needed(
+            membership, peer, self.target_voters, self._data_centre_of
+        )
+
     def enqueue(self, item: Packet | JoinRequest) -> None:
         """Puts a packet or a join request into the inbox."""
         self._inbox.put_nowait(item)
@@ -251,7 +269,7 @@
 
     def _add_learner(self, peer: Peer, now: float) -> None:
         """Adds a replica as a learner, or updates its name and address."""
-        if peer.id in control.retired_replicas(self.state.control):
+        if not self.admits(peer):
             return
         membership = consensus.membership(self.core)
         current = next(
@@ -307,10 +325,16 @@
         ):
             self._last_handover_at = now
             consensus.hand_over(self.core, now)
-        change = repair.next_membership(self.core, self.target_voters, self._clock(), retired)
+        change = repair.next_membership(
+            self.core, self.target_voters, self._clock(), retired, self._data_centre_of
+        )
         if change is not None:
-            names = [peer.name for peer in change.voters]
-            logs.info(Event.REPLICA_REMOVED, group=self.group, voters=names)
+            logs.info(
+                Event.REPLICA_REMOVED,
+                group=self.group,
+                voters=[peer.name for peer in change.voters],
+                learners=[peer.name for peer in change.learners],
+            )
             consensus.change_membership(self.core, change, self._clock())
 
     def _fail_pending(self) -> None:
--- a/verbenashore/storage.py
+++ b/verbenashore/storage.py
@@ -19,6 +19,8 @@
 RECORD_HEADER = struct.Struct("<4sII")
 #: Size above which the next segment is started.
 SEGMENT_BYTES = 8 << 20
+#: Name of the file in a data folder that holds the addresses of the group's replicas.
+PEERS_FILE = "peers"
 
 
 class EntryRecord(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -168,6 +170,23 @@
     remove_covered_segments(folder, snapshot.base.index)
 
 
+def save_peers(path: Path, addresses: list[str]) -> None:
+    """Saves the addresses of the group's replicas, for a process that is not one of them.
+
+    :raises StorageError: if the disk fails.
+    """
+    try:
+        _write_file(path / PEERS_FILE, msgspec.json.encode(sorted(addresses)))
+    except OSError as error:
+        raise StorageError(str(error), step="peers", peer=str(path)) from error
+
+
+def read_peers(path: Path) -> list[str]:
+    """Returns the addresses that :func:`save_peers` saved last; none if it never did."""
+    file = path / PEERS_FILE
+    return msgspec.json.decode(file.read_bytes(), type=list[str]) if file.exists() else []
+
+
 def close(folder: DataFolder) -> None:
     """Closes the folder's files."""
     os.close(folder.descriptor)
