Keep the order of items between scheduling passes

Cause: the leader sorted all items without a result at each look, with every report that came (over a thousand a second with 59 entries) and every 20 ms, and looked up the route of each.

Change: the order is a module of its own, sorted when a job comes or goes and else every 0.2 s or after 20 times as long as sorting took; a pass ends when no service has a free server; passes are at least 5 ms apart and wait to be woken while there are no jobs.

Evidence: tests/test_itemorder.py counts sorts.

--- a/tests/test_jobrunner.py
+++ b/tests/test_jobrunner.py
@@ -20,7 +20,8 @@
     SubmitItemJob,
     TypicalRun,
 )
-from verbenashore.jobrunner import MAX_COUNTED_PAUSE_SECONDS, JobRunner, Progress, items_by_urgency
+from verbenashore.itemorder import items_by_urgency
+from verbenashore.jobrunner import MAX_COUNTED_PAUSE_SECONDS, JobRunner, Progress
 from verbenashore.loadtable import LoadTable
 from verbenashore.metrics import Metrics
 from verbenashore.prober import Prober
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -6,7 +6,8 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable, Iterator
+import contextlib
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import msgspec
@@ -26,6 +27,7 @@
     ProgressPart,
     RunTiming,
 )
+from verbenashore.itemorder import ItemKey, ItemOrder, urgency_of
 from verbenashore.loadtable import LoadTable
 from verbenashore.logs import Event
 from verbenashore.metrics import Metrics
@@ -51,14 +53,13 @@
 COMMIT_INTERVAL_SECONDS = 1.0
 #: Attempts to commit one result; each fails if a commit of the item's progress is applied first.
 MAX_RESULT_COMMITS = 3
-#: Longest time in seconds between two scheduling passes.
+#: Shortest and longest time in seconds between two scheduling passes.
+MIN_SCHEDULING_INTERVAL_SECONDS = 0.005
 MAX_SCHEDULING_INTERVAL_SECONDS = 0.02
 #: HTTP status of an item that no attempt can complete.
 IMPOSSIBLE_STATUS = 422
 NO_SERVERS: set[BackendName] = set()
 
-ItemKey = tuple[JobId, int]
-
 
 class Progress(msgspec.Struct):
     """What an item has produced so far, and how long that took under this leader.
@@ -114,47 +115,6 @@
         self.stopped_at = now
 
 
-class Urgency(msgspec.Struct, frozen=True, order=True, array_like=True):
-    """Sort key of items; the lowest runs first.
-
-    Under overload, ordering by due time alone would make every item a little late.  Items that are
-    expected to end late therefore run after all others.
-    """
-
-    is_late: bool
-    due_at: float
-    key: ItemKey
-
-
-def items_by_urgency(
-    jobs: Iterable[ItemJob], now: float, remaining_seconds: Callable[[JobId, int], float]
-) -> list[ItemKey]:
-    """Returns the items that have no result yet, in the order in which to run them.
-
-    Items of jobs that have ended are left out.
-
-    :param now: ledger time in seconds.
-    :param remaining_seconds: returns the expected remaining run time of an item.
-    """
-    return [
-        urgency.key
-        for urgency in sorted(
-            urgency_of(job, index, now, remaining_seconds)
-            for job in jobs
-            if job.open
-            for index, item in enumerate(job.items)
-            if not item.listed
-        )
-    ]
-
-
-def urgency_of(
-    job: ItemJob, index: int, now: float, remaining_seconds: Callable[[JobId, int], float]
-) -> Urgency:
-    """Returns the sort key of an item."""
-    return Urgency(now + remaining_seconds(job.id, index) > job.due_at, job.due_at, (job.id, index))
-
-
 class Run(msgspec.Struct):
     """One attempt at an item on one server.
 
@@ -216,6 +176,7 @@
         self._progress_by_key: dict[ItemKey, Progress] = {}
         self._yielded_at: dict[BackendName, float] = {}
         self._unroutable_keys: set[ItemKey] = set()
+        self._order = ItemOrder()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._wake = asyncio.Event()
 
@@ -228,16 +189,20 @@
         misc.spawn(self._commit_progress(), self._tasks)
         try:
             while True:
-                try:
-                    async with asyncio.timeout(MAX_SCHEDULING_INTERVAL_SECONDS):
-                        await self._wake.wait()
-                except TimeoutError:
-                    pass
-                self._wake.clear()
+                await self._wait_for_pass()
                 self._schedule_runs()
+                await asyncio.sleep(MIN_SCHEDULING_INTERVAL_SECONDS)
         finally:
             await misc.cancel_and_wait(*self._tasks)
 
+    async def _wait_for_pass(self) -> None:
+        """Waits for the next pass; without items, or without leadership, until it is woken."""
+        idle = not self._is_serving() or not self._job_table().job_by_id
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(None if idle else MAX_SCHEDULING_INTERVAL_SECONDS):
+                await self._wake.wait()
+        self._wake.clear()
+
     def _schedule_runs(self) -> None:
         if not self._is_serving():
             if self._run_by_key or self._progress_by_key:
@@ -305,39 +270,44 @@
             self._on_load_change()
 
     def _start_waiting(self) -> None:
+        """Starts the most urgent items on the servers that have a free slot for one."""
         now = self._clock()
         # Until a first route table is known, a missing route doesn't mean that it was removed.
-        if not self._routes().table.version or not self._has_free_slot(now):
+        if not self._routes().table.version:
             return
+        free_services = {
+            service
+            for service in self._directory.services
+            if self._choose_server(service, now) is not None
+        }
         jobs = self._job_table().job_by_id
-        free_by_service: dict[ServiceName, bool] = {}
-        for key in items_by_urgency(jobs.values(), self._ledger_time(), self._remaining_seconds):
-            if key in self._run_by_key or key in self._unroutable_keys:
+        if not free_services or not jobs:
+            return
+        for key in self._order.keys(jobs, now, self._ledger_time(), self._remaining_seconds):
+            if not free_services:
+                return
+            if key in self._run_by_key or key in self._unroutable_keys or key[0] not in jobs:
                 continue
             job, item = jobs[key[0]], jobs[key[0]].items[key[1]]
-            progress = self._progress_of(key, item)
-            if progress.not_before > now:
+            if item.listed or not job.open or self._is_delayed(key, now):
                 continue
             route = self._routes().find(job.host, item.spec.target.partition("?")[0])
             if route is None:
                 self._fail_unroutable(key)
                 continue
             service = routing.choose_service(route, item.spec.id)
-            if not free_by_service.get(service, True):
+            if service not in free_services:
                 continue
+            progress = self._progress_of(key, item)
             server = self._choose_server(service, now, progress.failed_at)
             if server is not None:
                 self._start_run(job, key, server, progress)
             elif not progress.failed_at:
-                free_by_service[service] = False
-
-    def _has_free_slot(self, now: float) -> bool:
-        """Returns whether a server of any service could run an item now.
+                free_services.discard(service)
 
-        This is checked first because it needs no scan of the items.
-        """
-        services = {server.service for server in self._directory.by_name.values()}
-        return any(self._choose_server(service, now) is not None for service in services)
+    def _is_delayed(self, key: ItemKey, now: float) -> bool:
+        progress = self._progress_by_key.get(key)
+        return progress is not None and progress.not_before > now
 
     def _progress_of(self, key: ItemKey, item: ItemState) -> Progress:
         """Returns the progress of an item, which starts from what an earlier leader committed."""
@@ -364,10 +334,11 @@
         """
         best = None
         most_free = 0
-        servers = self._directory.accepting_servers(service)
-        if excluded and excluded.issuperset(server.name for server in servers):
+        if excluded and excluded.issuperset(
+            server.name for server in self._directory.accepting_servers(service)
+        ):
             excluded.clear()
-        for server in servers:
+        for server in self._dispatcher.candidates(service):
             if server.name in excluded:
                 continue
             total = self._load_table.total(server.name)
