Let followers and idle probers sleep until something is due

Cause: each ledger process woke 50 times a second to tick and 20 times to look for probes, also the 25 of 30 that have nothing to do; processor time is dear on the large site.

Change: a follower sleeps until its election time, 0.25 s at most; the prober waits for a failure.

Evidence: the state-machine tests of the core use the same tick.

--- a/verbenashore/consensus.py
+++ b/verbenashore/consensus.py
@@ -283,6 +283,15 @@
         _send_cold_start_requests(replica, now)
 
 
+def next_tick(replica: Replica, now: float) -> float:
+    """Returns the time at which :func:`tick` is due again if nothing is received until then."""
+    if replica.role is not Role.FOLLOWER:
+        return now
+    if replica.just_started and is_voter(replica):
+        return min(replica.election_at, replica.cold_start.retry_at)
+    return replica.election_at
+
+
 def propose(replica: Replica, commands: list[bytes], now: float) -> list[LogIndex]:
     """Appends commands to the log and returns their indexes.
 
--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -256,6 +256,11 @@
             if health.suspected and health.found_here
         ]
 
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any server is suspected, by this process or by another member."""
+        return any(health.suspected for health in self._health_by_name.values())
+
     def record_full(self, name: BackendName, now: float) -> None:
         """Records that a server refused a call because it is full."""
         health = self._health_by_name.setdefault(name, Health())
--- a/verbenashore/prober.py
+++ b/verbenashore/prober.py
@@ -39,6 +39,7 @@
         self._routes = routes
         self._on_change = on_change
         self._suspects_by_member: dict[MemberName, frozenset[BackendName]] = {}
+        self._failed = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def record_error(self, name: BackendName, error: BackendError) -> None:
@@ -60,6 +61,9 @@
         """Runs due probes until it is cancelled."""
         try:
             while True:
+                if not self._dispatcher.has_suspects:
+                    self._failed.clear()
+                    await self._failed.wait()
                 await asyncio.sleep(POLL_SECONDS)
                 for server in self._dispatcher.due_probes(self._clock()):
                     misc.spawn(self._probe(server), self._tasks)
@@ -67,6 +71,7 @@
             await misc.cancel_and_wait(*self._tasks)
 
     def _record_failure(self, name: BackendName, kind: FailureKind) -> None:
+        self._failed.set()
         if self._dispatcher.record_failure(name, kind, self._clock()):
             logs.warning(Event.BACKEND_AVOIDED, server=name, cause=kind)
             self._on_change()
--- a/verbenashore/replica.py
+++ b/verbenashore/replica.py
@@ -16,7 +16,9 @@
 from verbenashore.replication import EntryKind, LogEntry, Packet, Peer, Snapshot
 from verbenashore.types import Clock, GroupId, LogIndex, MemberName, Term
 
+#: Shortest time in seconds between two ticks without messages, and the longest for a follower.
 TICK_SECONDS = 0.02
+MAX_TICK_SECONDS = 0.25
 #: Seconds between two attempts of a retired leader to hand over its leadership.
 HANDOVER_RETRY_SECONDS = 2.0
 
@@ -231,8 +233,10 @@
 
     async def _next_batch(self) -> list[InboxMessage]:
         batch: list[InboxMessage] = []
+        now = self._clock()
+        until_tick = consensus.next_tick(self.core, now) - now
         try:
-            async with asyncio.timeout(TICK_SECONDS):
+            async with asyncio.timeout(min(MAX_TICK_SECONDS, max(TICK_SECONDS, until_tick))):
                 batch.append(await self._inbox.get())
         except TimeoutError:
             return batch
