Watch all reads of a response with one timer, and read an item's events in groups

Change: one timer an exchange, armed again from the time of the read that waits; the job runner reads every 50 ms.

--- a/verbenashore/httpclient.py
+++ b/verbenashore/httpclient.py
@@ -38,6 +38,9 @@
 class Exchange:
     """One request whose response is read as it is received.
 
+    One timer watches all reads of a response: a stream has a read every few milliseconds, and a
+    timer for each would cost more than the read.
+
     :param read_timeout: seconds for which each read waits for more data.
     :param ended: whether the response was read to its end.
     """
@@ -53,6 +56,9 @@
         self._writer = writer
         self._peer = peer
         self._read_timeout = read_timeout
+        self._loop = asyncio.get_running_loop()
+        self._waiting_since: float | None = None
+        self._timer = self._loop.call_later(read_timeout, self._check_read)
         self._connection = h11.Connection(h11.CLIENT)
         self.status = 0
         self.content_type = ""
@@ -71,7 +77,25 @@
 
     def set_read_timeout(self, seconds: float) -> None:
         """Changes the seconds for which each read waits for more data."""
-        self._read_timeout = seconds
+        if seconds != self._read_timeout:
+            self._read_timeout = seconds
+            self._check_read()
+
+    def close(self) -> None:
+        """Stops watching the reads."""
+        self._timer.cancel()
+
+    def _check_read(self) -> None:
+        """Fails the read that waits for more data if its time is over."""
+        self._timer.cancel()
+        now = self._loop.time()
+        due = (now if self._waiting_since is None else self._waiting_since) + self._read_timeout
+        if now >= due:
+            self._reader.set_exception(
+                BackendError("timed out waiting for more data", step="read", peer=self._peer)
+            )
+        else:
+            self._timer = self._loop.call_at(due, self._check_read)
 
     async def read_head(self) -> None:
         """Reads the status and the headers, past any informational responses."""
@@ -105,9 +129,6 @@
                 )
 
     async def _next_event(self) -> Any:
-        timeout_error = BackendError(
-            "timed out waiting for more data", step="read", peer=self._peer
-        )
         while True:
             try:
                 event = self._connection.next_event()
@@ -115,9 +136,9 @@
                 raise BackendError(str(error), step="read", peer=self._peer) from None
             if event is not h11.NEED_DATA:
                 return event
-            data = await misc.with_timeout(
-                self._read_timeout, self._reader.read(READ_BYTES), timeout_error
-            )
+            self._waiting_since = self._loop.time()
+            data = await self._reader.read(READ_BYTES)
+            self._waiting_since = None
             self._connection.receive_data(data)
 
 
@@ -158,6 +179,7 @@
     except OSError as error:
         raise BackendError(str(error), step="exchange", peer=address) from error
     finally:
+        opened.close()
         if opened.ended:
             writer.close()
         else:
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -37,6 +37,8 @@
 
 #: Seconds without data after which an attempt fails and the item moves to another server.
 STALL_SECONDS = 1.0
+#: Seconds between two reads of an item's events.
+READ_PAUSE_SECONDS = 0.05
 #: Seconds before a failed item is retried.
 RETRY_DELAY_SECONDS = 0.15
 #: Free slots that a server must have beyond the one for a new item, for the next online call.
@@ -477,6 +479,8 @@
     ) -> None:
         splitter = EventSplitter()
         async for chunk in opened.parts():
+            # Nobody waits for a single event of an item, so several are read at once.
+            await asyncio.sleep(READ_PAUSE_SECONDS)
             for event in splitter.feed(chunk):
                 if event.number == NO_NUMBER:
                     continue
