--- a/verbenashore/repair.py
+++ b/verbenashore/repair.py
@@ -19,8 +19,11 @@
 
 
 def spare_count(size: int) -> int:
-    """Returns how many learners a group of some voters keeps: as many as it may lose at once."""
-    return size // 2
+    """Returns how many learners a group of some voters keeps: as many as it may lose at once.
+
+    A group of one keeps one, too, which takes over when the voter is retired.
+    """
+    return max(1, size // 2)
 
 
 def is_needed(current: Membership, peer: Peer, size: int, data_centre_of: DataCentreOf) -> bool:
