Remember only the control group's processes that stand by for retirements

Found in the last reading: a process that stands by for another group was remembered under that group's replica id, and a retirement would have named that id. Also a method is named by what it does, and a fixed wait between kills and restarts in a new test is gone, as nothing needs it.

Evidence: by reading; no test had it, since only the platform's deployment, with one group, retires.

--- a/tests/test_repair.py
+++ b/tests/test_repair.py
@@ -1,7 +1,6 @@
 """Which ledger processes belong to a group, and which stand by outside it."""
 
 import signal
-import time
 
 import pytest
 
@@ -147,7 +146,6 @@
     before = [fleet.log(name).count("standing_by") for name in standing_by]
     for name in fleet.ledger_names:
         fleet.kill(name)
-    time.sleep(0.5)
     for name in fleet.ledger_names:
         fleet.restart(name)
     wait_until(
--- a/verbenashore/ledger.py
+++ b/verbenashore/ledger.py
@@ -199,7 +199,7 @@
 
 
 class StandbyReplica(msgspec.Struct, frozen=True):
-    """A replica that is not needed in the group now.
+    """A replica that the control group doesn't need now.
 
     :param seen_at: when it last asked to join.
     """
@@ -496,7 +496,8 @@
         if runner.admits(body.peer):
             runner.enqueue(JoinRequest(body.peer))
             return files.Done()
-        self._standby_by_name[body.peer.name] = StandbyReplica(body.peer.id, self._clock())
+        if body.group == CONTROL_GROUP:
+            self._standby_by_name[body.peer.name] = StandbyReplica(body.peer.id, self._clock())
         return StandBy(runner.addresses)
 
     def _data_centre_of(self, address: str) -> str:
@@ -567,7 +568,7 @@
                 runner.leader_hint = ""
                 if runner.group == CONTROL_GROUP:
                     self.control.set_addresses(runner.addresses)
-            elif not (runner.leader_hint and await self._stands_by(runner, runner.leader_hint)):
+            elif not (runner.leader_hint and await self._ask_to_join(runner, runner.leader_hint)):
                 await self._join_or_bootstrap(runner)
             if runner.leader_hint:
                 await asyncio.sleep(STANDBY_CHECK_SECONDS * self._random.uniform(0.7, 1.3))
@@ -589,7 +590,7 @@
         formed = [identity for identity in identities if identity.formed]
         if formed:
             leaders = {identity.leader for identity in formed if identity.leader}
-            await asyncio.gather(*(self._stands_by(runner, leader) for leader in sorted(leaders)))
+            await asyncio.gather(*(self._ask_to_join(runner, leader) for leader in sorted(leaders)))
         elif not runner.formed and self._settings.bootstrap == "yes":
             self._bootstrap_if_first(runner, identities)
 
@@ -623,8 +624,8 @@
                 return answer
         return None
 
-    async def _stands_by(self, runner: ReplicaRunner, leader: str) -> bool:
-        """Asks a leader to join; returns whether it answered that this replica is not needed."""
+    async def _ask_to_join(self, runner: ReplicaRunner, leader: str) -> bool:
+        """Asks a leader to be taken in; returns whether it answered that nobody is needed now."""
         try:
             answer = await self._process.links.to(leader).call(
                 JoinGroup(runner.group, runner.peer), CALL_TIMEOUT_SECONDS
