Answer requests that reach a server while it stops

Cause: three moments at which a request lies in the kernel unread when the server closes: in the queue of the listening socket, on an accepted connection that was idle so far, and on a kept connection whose last response did not say that it closes. Change: the queue outlives the server's own descriptor and is served; connections get 0.25 s for requests that were on their way; the OpenAI entry says connection: close from the start of its lame duck time, as the gateway did. Ruled out: the lame duck time itself (the streams of the test end within it).

--- a/verbenashore/entry.py
+++ b/verbenashore/entry.py
@@ -86,9 +86,10 @@
 
     async def run(self) -> None:
         """Serves until stopped, then finishes the requests in progress."""
+        closing = asyncio.Event()
         stop_serving = asyncio.Event()
         server_task = asyncio.create_task(
-            httpserver.serve(str(self._settings.listen), self.handle, stop_serving)
+            httpserver.serve(str(self._settings.listen), self.handle, stop_serving, closing)
         )
         self._process.start_task(server_task)
         self._process.start_task(self._view.run())
@@ -99,6 +100,7 @@
         logs.info(Event.STOPPING)
         self._process.ready = False
         self._view.set_state(MemberState.DRAINING)
+        closing.set()
         await asyncio.sleep(self._settings.lame_duck)
         stop_serving.set()
         await server_task
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -1,8 +1,9 @@
 """An HTTP/1.1 server over h11, with limits on connections, sizes and times of callers."""
 
 import asyncio
+import contextlib
 import socket
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Iterator, Mapping
 from typing import Any
 from urllib.parse import parse_qsl, unquote, urlsplit
 
@@ -27,6 +28,8 @@
 #: Seconds for which a write waits for the caller to read, once the send buffer is full.
 WRITE_TIMEOUT_SECONDS = 20.0
 READ_BYTES = 64 << 10
+#: Seconds after a stop in which requests that were on their way are still received.
+LAST_REQUEST_SECONDS = 0.25
 #: An instance may open 4,100 file descriptors; the others are for connections to backend servers.
 MAX_CONNECTIONS = 3000
 NO_HEADERS: Mapping[str, str] = {}
@@ -168,15 +171,17 @@
 ) -> None:
     """Serves until ``stopping`` is set, then closes each connection after its current request.
 
+    Connections that the kernel has queued by then are served as well: closing the listening socket
+    would reset them, although their callers may have sent a request.
+
     :param address: ``IP:PORT``, or a socket that already listens.
     :param closing: set some time before ``stopping``; from then on the connection is closed after
         each response, while new connections are still accepted.
     :raises OSError: if the address can't be bound.
     """
     listener = open_listener(address) if isinstance(address, str) else address
-    state = _ServerState(
-        handle, stopping, closing or asyncio.Event(), server_limits or ServerLimits()
-    )
+    closing = closing or asyncio.Event()
+    state = _ServerState(handle, stopping, closing, server_limits or ServerLimits())
     connections: set[_CallerConnection] = set()
     tasks: set[asyncio.Task[Any]] = set()
 
@@ -200,19 +205,37 @@
             tasks.discard(task)
             writer.close()
 
+    async def serve_queued(caller: socket.socket) -> None:
+        await serve_connection(*await asyncio.open_connection(sock=caller))
+
+    # Keeps the queue of new connections when the server closes its own descriptor.
+    queue = listener.dup()
     server = await asyncio.start_server(serve_connection, sock=listener, backlog=BACKLOG)
     try:
         await stopping.wait()
+        closing.set()
         server.close()
+        for caller in _accept_all(queue):
+            misc.spawn(serve_queued(caller), tasks)
+        queue.close()
+        await asyncio.sleep(LAST_REQUEST_SECONDS)
         for connection in list(connections):
             if not connection.busy:
                 connection.task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
     finally:
+        queue.close()
         server.close()
         await misc.cancel_and_wait(*tasks)
 
 
+def _accept_all(listener: socket.socket) -> Iterator[socket.socket]:
+    """Yields the connections that the kernel has queued for a non-blocking listening socket."""
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            yield listener.accept()[0]
+
+
 class _ServerState(msgspec.Struct):
     """State that all connections of a server share."""
 
@@ -246,7 +269,7 @@
 
     async def run(self) -> None:
         """Serves the requests of the connection one by one."""
-        while not self._server_state.stopping.is_set():
+        while True:
             respond = Responder(self._connection, self._writer, self._server_state.closing)
             try:
                 request = await self._read_request()
@@ -302,15 +325,20 @@
             await respond_error(respond, VerbenaError(repr(error), step="handle"))
 
     async def _read_request(self) -> Request | None:
-        """Reads the next request; None if the caller closed the connection."""
+        """Reads the next request; None if the caller closed the connection or the server stops."""
         idle_error = ClientTimeoutError("idle connection timed out", step="read", not_run=True)
         slow_error = ClientTimeoutError("reading the request timed out", step="read", not_run=True)
         # The idle timeout applies until the first bytes of the request are received.
         if self._connection.trailing_data == (b"", False):
+            stopping = self._server_state.stopping.is_set()
             limits = self._server_state.server_limits.limits
-            data = await misc.with_timeout(
-                limits.idle_seconds, self._reader.read(READ_BYTES), idle_error
-            )
+            seconds = LAST_REQUEST_SECONDS if stopping else limits.idle_seconds
+            try:
+                data = await misc.with_timeout(seconds, self._reader.read(READ_BYTES), idle_error)
+            except ClientTimeoutError:
+                if stopping:
+                    return None
+                raise
             self._connection.receive_data(data)
         self.busy = True
         limits = self._server_state.server_limits.limits
