Close the connections between processes that are not used

Change: a connection is closed 3 s after its last use, and opened again by the next message; a ping is sent only if nothing was received since the one before. A closed connection counts neither as quiet nor as silent. Evidence: tests/test_link.py, red before (8 pings in 2 s on an unused connection) and green after.

--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -9,7 +9,7 @@
 import zmq.asyncio
 
 from tests.platforms import own_address
-from verbenashore import files, logs
+from verbenashore import files, link, logs
 from verbenashore.exceptions import LinkSilentError
 from verbenashore.link import Link, Server
 from verbenashore.logs import Event
@@ -60,6 +60,49 @@
     )
 
 
+def test_a_link_that_is_not_used_sends_no_pings_and_works_at_its_next_use(monkeypatch):
+    monkeypatch.setattr(link, "IDLE_SECONDS", 0.3, raising=False)
+    received = []
+
+    async def check():
+        context = zmq.asyncio.Context()
+        address = own_address()
+
+        async def answer(_envelope, reply):
+            reply(files.Done(), True)
+
+        server = Server(context, address, sender, time.monotonic, answer)
+        serving = asyncio.create_task(server.run())
+        dispatch = server._dispatch_message
+        monkeypatch.setattr(
+            server,
+            "_dispatch_message",
+            lambda peer, envelope: (received.append(envelope.body), dispatch(peer, envelope)),
+        )
+        used = Link(context, address, sender, time.monotonic)
+        assert await used.call(AskStatus(), 1.0) == files.Done()
+        await asyncio.sleep(1.0)
+        before = len(received)
+        await asyncio.sleep(2.0)
+        pings_while_unused = len(received) - before
+        silent_while_unused = used.is_quiet or used.is_silent
+        assert await used.call(AskStatus(), 1.0) == files.Done()
+        await asyncio.sleep(0.1)
+        assert not used.is_quiet
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+        await asyncio.sleep(0.2)
+        with pytest.raises(LinkSilentError):
+            await used.call(AskStatus(), 1.0)
+        assert used.is_silent
+        await used.close()
+        context.destroy(linger=0)
+        assert pings_while_unused == 0
+        assert not silent_while_unused
+
+    asyncio.run(check())
+
+
 def test_a_message_type_of_a_newer_build_does_not_stop_a_server():
     async def check():
         context = zmq.asyncio.Context()
--- a/verbenashore/link.py
+++ b/verbenashore/link.py
@@ -26,6 +26,10 @@
 from verbenashore.types import Clock
 
 PING_INTERVAL_SECONDS = 0.25
+#: Seconds after its last use in which a connection is closed.  Members call many ledger processes
+#: once, and each would have to answer the pings of all of them for ever.  It is longer than the
+#: pauses between the calls of a member that looks for a leader, which asks who answers pings.
+IDLE_SECONDS = 3.0
 #: Seconds without a message after which a connection is replaced.
 SILENT_SECONDS = 1.5
 SEND_QUEUE_MESSAGES = 20_000
@@ -116,6 +120,7 @@
     """The caller's side of the connection to one process.
 
     A connection on which nothing is received for some time, not even answers to pings, is replaced.
+    One that is not used is closed until its next use.
 
     :param address: ``IP:PORT`` of the process.
     :param sender: returns the description of this process that every message carries.
@@ -141,7 +146,9 @@
         self._answers_by_call: dict[int, asyncio.Queue[Envelope | VerbenaError]] = {}
         self._abandoned_by_call: dict[int, tuple[str, float]] = {}
         self._socket = self._connect()
-        self._received_at = clock()
+        self._received_at = self._used_at = clock()
+        self._used = asyncio.Event()
+        self._is_connected = True
         self._backlog = backlog
         self._epoch = ""
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -151,12 +158,17 @@
     @property
     def is_quiet(self) -> bool:
         """True if nothing came for more than two ping intervals: a ping was not answered."""
-        return self._clock() - self._received_at > 2 * PING_INTERVAL_SECONDS
+        return self._seconds_unanswered > 2 * PING_INTERVAL_SECONDS
 
     @property
     def is_silent(self) -> bool:
         """True if nothing came from the peer for more than three ping intervals."""
-        return self._clock() - self._received_at > 3 * PING_INTERVAL_SECONDS
+        return self._seconds_unanswered > 3 * PING_INTERVAL_SECONDS
+
+    @property
+    def _seconds_unanswered(self) -> float:
+        """Seconds without a message on an open connection; 0 if it is closed."""
+        return self._clock() - self._received_at if self._is_connected else 0.0
 
     async def call(self, body: Body, timeout: float) -> Body:
         """Sends a call and waits for its answer.
@@ -243,6 +255,11 @@
         return socket
 
     def _send_message(self, call_id: int, body: Body) -> None:
+        if not isinstance(body, Ping):
+            self._used_at = self._clock()
+            self._used.set()
+            if not self._is_connected:
+                self._open()
         data = _encoder.encode(Envelope(call_id, True, self._sender(), body))
         if self._backlog is not None:
             self._backlog.add(len(data))
@@ -289,9 +306,12 @@
             queue.put_nowait(LinkSilentError(reason, step="call", peer=self.address))
 
     async def _monitor(self) -> None:
-        """Pings the peer, and replaces a connection on which nothing was received for too long."""
+        """Pings the peer while the connection is used; replaces it if nothing is received."""
         while True:
-            self._send_message(0, Ping())
+            if not self._answers_by_call and self._clock() - self._used_at > IDLE_SECONDS:
+                await self._close_until_used()
+            if self._clock() - self._received_at >= PING_INTERVAL_SECONDS / 2:
+                self._send_message(0, Ping())
             await asyncio.sleep(PING_INTERVAL_SECONDS)
             limit = SILENT_SECONDS
             if self._backlog is not None:
@@ -300,15 +320,28 @@
             if self._clock() - self._received_at > limit:
                 await self._reconnect()
 
+    async def _close_until_used(self) -> None:
+        """Closes the connection and waits for the next message, which opens another one."""
+        unused = self._socket
+        self._used.clear()
+        self._is_connected = False
+        await misc.cancel_and_wait(self._receive_task)
+        unused.close(linger=0)
+        await self._used.wait()
+
     async def _reconnect(self) -> None:
         logs.info(Event.LINK_SILENT, peer=self.address, calls=len(self._answers_by_call))
         await misc.cancel_and_wait(self._receive_task)
         self._socket.close(linger=0)
+        self._open()
+        self._fail_calls("nothing was received on the connection, which was replaced")
+
+    def _open(self) -> None:
         self._socket = self._connect()
+        self._is_connected = True
         self._received_at = self._clock()
         self._receive_task = misc.spawn(self._receive(self._socket), self._tasks)
         self._epoch = ""
-        self._fail_calls("nothing was received on the connection, which was replaced")
 
 
 class Server:
