Drive the exchange of load reports by one timer

Cause: each exchange took three passes of the event loop, an event, a timeout and a sleep; two thirds of an idle entry's passes were of that kind (25 exchanges a second, callbacks counted on loopback). Change: one timer, which a change brings forward. Evidence: tests/test_loadtree.py, test_gateway.py pass.

--- a/verbenashore/gossip.py
+++ b/verbenashore/gossip.py
@@ -66,7 +66,11 @@
         self._on_report = on_report
         self._dispatcher = dispatcher
         self._takes_part = takes_part
-        self._changed = asyncio.Event()
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._next_exchange: asyncio.TimerHandle | None = None
+        self._is_change_pending = False
+        self._last_exchange_at = float("-inf")
+        self._failure: asyncio.Future[None] | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._parent: MemberName | None = None
 
@@ -78,7 +82,9 @@
 
     def mark_changed(self) -> None:
         """Sends reports soon."""
-        self._changed.set()
+        if not self._is_change_pending and self._loop is not None:
+            self._is_change_pending = True
+            self._schedule(max(self._loop.time(), self._last_exchange_at + MIN_INTERVAL_SECONDS))
 
     def connection_made(self, transport: Any) -> None:
         """Stores the transport of the socket."""
@@ -103,24 +109,40 @@
 
     async def run(self) -> None:
         """Sends reports until it is cancelled; the last ones say that this member leaves."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=self._own.address)
+        self._loop = asyncio.get_running_loop()
+        self._failure = self._loop.create_future()
+        await self._loop.create_datagram_endpoint(lambda: self, local_addr=self._own.address)
         assert self._transport is not None
         try:
-            while True:
-                try:
-                    async with asyncio.timeout(KEEPALIVE_SECONDS):
-                        await self._changed.wait()
-                except TimeoutError:
-                    pass
-                self._changed.clear()
-                self._exchange()
-                await asyncio.sleep(MIN_INTERVAL_SECONDS)
+            self._exchange_and_schedule()
+            await self._failure
         finally:
+            assert self._next_exchange is not None
+            self._next_exchange.cancel()
+            self._loop = None
             self._load_table.local_by_backend.clear()
             self._leave()
             self._transport.close()
 
+    def _schedule(self, at: float) -> None:
+        """Schedules the next exchange, with one timer for changes and for the longest interval."""
+        assert self._loop is not None
+        if self._next_exchange is not None:
+            self._next_exchange.cancel()
+        self._next_exchange = self._loop.call_at(at, self._exchange_and_schedule)
+
+    def _exchange_and_schedule(self) -> None:
+        assert self._loop is not None and self._failure is not None
+        self._last_exchange_at = self._loop.time()
+        self._is_change_pending = False
+        self._schedule(self._last_exchange_at + KEEPALIVE_SECONDS)
+        try:
+            self._exchange()
+        except Exception as error:
+            # Ends the run, and with it the process, as an error in a task does.
+            if not self._failure.done():
+                self._failure.set_exception(error)
+
     def _exchange(self) -> None:
         if not self._takes_part():
             if self._tree.parent is not None or self._tree.children:
