--- a/verbenashore/loadtable.py
+++ b/verbenashore/loadtable.py
@@ -160,21 +160,30 @@
 
     def _replace(self, member: MemberName, received: ReceivedReport | None) -> None:
         previous = self.received_by_member.pop(member, None)
-        if previous is not None:
-            _subtract_report(self._remote_by_backend, previous.report)
-            self._remote_waiting_by_service.subtract(previous.report.waiting_by_service)
-            self._remote_waiting_by_service.subtract(previous.report.relayed_waiting_by_service)
-        if received is None:
-            return
-        self.received_by_member[member] = received
-        for loads in (received.report.load_by_backend, received.report.relayed_by_backend):
-            for backend, load in loads.items():
-                _add(self._remote_by_backend, backend, load)
-        self._remote_waiting_by_service.update(received.report.waiting_by_service)
-        self._remote_waiting_by_service.update(received.report.relayed_waiting_by_service)
+        before = previous.report if previous is not None else NO_REPORT
+        after = received.report if received is not None else NO_REPORT
+        self._add_differences(before.load_by_backend, after.load_by_backend)
+        self._add_differences(before.relayed_by_backend, after.relayed_by_backend)
+        self._remote_waiting_by_service.subtract(before.waiting_by_service)
+        self._remote_waiting_by_service.subtract(before.relayed_waiting_by_service)
+        self._remote_waiting_by_service.update(after.waiting_by_service)
+        self._remote_waiting_by_service.update(after.relayed_waiting_by_service)
+        if received is not None:
+            self.received_by_member[member] = received
+
+    def _add_differences(
+        self, before: dict[BackendName, Load], after: dict[BackendName, Load]
+    ) -> None:
+        """Updates the sums for the servers whose load differs between two reports of a member."""
+        for backend in before.keys() | after.keys():
+            old, new = before.get(backend, NO_LOAD), after.get(backend, NO_LOAD)
+            if old != new:
+                change = Load(new.online - old.online, new.batch - old.batch)
+                _add(self._remote_by_backend, backend, change)
 
 
 NO_LOAD = Load()
+NO_REPORT = Report(MemberName(""), "", 0, {})
 
 
 def _add(by_backend: dict[BackendName, Load], backend: BackendName, load: Load) -> None:
