--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -76,14 +76,13 @@
     exchange: Any
     head: AnswerHead
 
-    async def parts(self) -> AsyncIterator[bytes]:
-        """Yields the body in parts.
+    def parts(self) -> AsyncIterator[bytes]:
+        """Returns the parts of the body as they are received.
 
-        :raises BackendError: if the body is truncated or a part is late.
+        :raises BackendError: while they are read, if the body is truncated or a part is late.
         """
         exchange: Exchange = self.exchange
-        async for part in exchange.parts():
-            yield part
+        return exchange.parts()
 
 
 async def check_status(dialect: Dialect, server: BackendEntry, path: str) -> bool:
