Read an item's events ten times a second instead of twenty

Change: 0.1 s between reads. An item ends 25 ms later in the mean, of some 3.5 s, and one that is stopped loses 25 ms more.

--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -38,7 +38,7 @@
 #: Seconds without data after which an attempt fails and the item moves to another server.
 STALL_SECONDS = 1.0
 #: Seconds between two reads of an item's events.
-READ_PAUSE_SECONDS = 0.05
+READ_PAUSE_SECONDS = 0.1
 #: Seconds before a failed item is retried.
 RETRY_DELAY_SECONDS = 0.15
 #: Free slots that a server must have beyond the one for a new item, for the next online call.
