Allow a long message its whole time on a slow line before a connection counts as silent

Cause: the time allowed without an answer was 1.5 s plus what the message still takes, so it shrank while the silence grew, and both met after half of the sum: 2.08 s for a message that takes 2.0 s on the test's line. A check at that moment replaced the connection, the message was sent again from its start, and the caller's time ran out. Change: silence counts from the end of the message's transfer.

--- a/tests/slowlines.py
+++ b/tests/slowlines.py
@@ -36,11 +36,14 @@
 
 
 @contextlib.asynccontextmanager
-async def servers_behind_slow_line(*handlers):
-    """Starts one server per handler behind one slow line; yields links and their addresses."""
+async def servers_behind_slow_line(*handlers, rate=BYTES_PER_SECOND):
+    """Starts one server per handler behind one slow line; yields links and their addresses.
+
+    :param rate: bytes per second of the line.
+    """
     context = zmq.asyncio.Context()
     clock = asyncio.get_running_loop().time
-    up, down = Line(BYTES_PER_SECOND), Line(BYTES_PER_SECOND)
+    up, down = Line(rate), Line(rate)
     relays, tasks, addresses = [], [], []
     links = LinkPool(context, sender, clock)
     try:
--- a/tests/test_slowlines.py
+++ b/tests/test_slowlines.py
@@ -7,8 +7,8 @@
 import pytest
 
 from tests.gateways import gateway
-from tests.slowlines import servers_behind_slow_line
-from verbenashore import itemjobs, jobs
+from tests.slowlines import BYTES_PER_SECOND, servers_behind_slow_line
+from verbenashore import itemjobs, jobs, transfer
 from verbenashore.admin import CONTROL_TIMEOUT_SECONDS
 from verbenashore.client import GroupClient
 from verbenashore.control import Change
@@ -46,7 +46,7 @@
     raise NotLeaderError("not the leader", step="serve")
 
 
-async def submit(size):
+async def submit(size, rate=BYTES_PER_SECOND):
     """Submits a job to three replicas as an entry does; returns how often the leader got it."""
     proposed = []
 
@@ -55,7 +55,7 @@
         reply(Committed(SubmitResult(True, False, 0)), True)
 
     async with servers_behind_slow_line(
-        accept_as_leader, reject_as_follower, reject_as_follower
+        accept_as_leader, reject_as_follower, reject_as_follower, rate=rate
     ) as (links, addresses):
         client = GroupClient(0, links, addresses, asyncio.get_running_loop().time)
         seconds = job_commit_timeout(job(size), CALLER_TIMEOUT)
@@ -153,6 +153,12 @@
     assert asyncio.run(submit(2_400_000)) == 1
 
 
+def test_a_connection_is_not_replaced_while_a_long_message_occupies_a_line_of_the_lowest_rate():
+    """The time without an answer grew while the time allowed for the message shrank."""
+    rate = 1.1 * transfer.LOWEST_BYTES_PER_SECOND
+    assert asyncio.run(submit(2_400_000, rate)) == 1
+
+
 @pytest.mark.parametrize(("job_count", "size"), [(4, 300_000), (8, 100_000)])
 def test_concurrent_large_jobs_are_each_sent_once(job_count, size):
     proposed = []
--- a/verbenashore/link.py
+++ b/verbenashore/link.py
@@ -313,11 +313,11 @@
             if self._clock() - self._received_at >= PING_INTERVAL_SECONDS / 2:
                 self._send_message(0, Ping())
             await asyncio.sleep(PING_INTERVAL_SECONDS)
-            limit = SILENT_SECONDS
+            silent_since = self._received_at
             if self._backlog is not None:
                 # A ping queues behind the data that was sent before it.
-                limit += self._backlog.seconds()
-            if self._clock() - self._received_at > limit:
+                silent_since = max(silent_since, self._backlog.busy_until)
+            if self._clock() - silent_since > SILENT_SECONDS:
                 await self._reconnect()
 
     async def _close_until_used(self) -> None:
--- a/verbenashore/transfer.py
+++ b/verbenashore/transfer.py
@@ -121,19 +121,22 @@
 
 
 class Backlog:
-    """Estimates how long the bytes sent so far still occupy a line of the lowest assumed rate."""
+    """Estimates how long the bytes sent so far occupy a line of the lowest assumed rate.
+
+    :param busy_until: when all bytes will have been, or were, transferred.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._busy_until = clock()
+        self.busy_until = clock()
 
     def add(self, size: int) -> None:
         """Adds a sent message of some bytes."""
-        self._busy_until = max(self._busy_until, self._clock()) + transfer_seconds(size)
+        self.busy_until = max(self.busy_until, self._clock()) + transfer_seconds(size)
 
     def seconds(self) -> float:
         """Returns the seconds until all bytes are transferred."""
-        return max(0.0, self._busy_until - self._clock())
+        return max(0.0, self.busy_until - self._clock())
 
 
 def compress(data: bytes) -> bytes:
