--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: /--deselect /p' KNOWN-RED.txt)
 SPIN := command -v spin >/dev/null || (apt-get update -qq && apt-get install -y -qq spin)
 
-.PHONY: demo test format lint unit spec spec-small spec-mutants mutants soak measure capacity known-red clean
+.PHONY: demo test format lint unit spec spec-small spec-mutants mutants soak soak-machines measure capacity known-red clean
 
 $(VENV)/stamp: requirements/run.txt requirements/dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -33,7 +33,13 @@
 known-red:
 	@if [ -s KNOWN-RED.txt ]; then cat KNOWN-RED.txt; fi
 
+SEED ?= 1
+COUNT ?= 1
+
 soak: $(VENV)/stamp
+	$(BIN)/python -m tests.soak --seed $(SEED) --count $(COUNT)
+
+soak-machines: $(VENV)/stamp
 	VERBENA_SOAK=1 $(BIN)/pytest tests/test_consensus.py tests/test_machine.py --timeout 3600
 
 spec-small: $(VENV)/stamp
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -15,10 +15,12 @@
     """One direction of a line; all connections that use it share its rate.
 
     :param rate: bytes per second; 0 means no limit.
+    :param delay: seconds that each piece of data waits before it is passed on.
     """
 
     def __init__(self, rate: float = 0.0) -> None:
         self.rate = rate
+        self.delay = 0.0
         self._free_at = 0.0
         self._oversleep = 0.0
 
@@ -32,6 +34,16 @@
             self._oversleep = max(0.0, clock() - self._free_at)
 
 
+class _Connection:
+    """One connection, and whether data in each direction is held back."""
+
+    def __init__(self, writer: asyncio.StreamWriter, target_writer: asyncio.StreamWriter) -> None:
+        self.writer = writer
+        self.target_writer = target_writer
+        self.up_stalled = asyncio.Event()
+        self.down_stalled = asyncio.Event()
+
+
 class Relay:
     """Forwards connections to a target, until it is told to stall them.
 
@@ -43,22 +55,33 @@
         self._target = target
         self._up = up or Line()
         self._down = down or Line()
-        self._stall_events: set[asyncio.Event] = set()
+        self._connections: set[_Connection] = set()
         self.blocked = False
 
-    def stall_connections(self) -> None:
-        """Stalls every open connection without closing it."""
-        for stalled in self._stall_events:
-            stalled.set()
+    def stall_connections(self, *, both_ways: bool = True) -> None:
+        """Stalls every open connection without closing it.
+
+        :param both_ways: false to stall only what is sent to the target.
+        """
+        for connection in self._connections:
+            connection.up_stalled.set()
+            if both_ways:
+                connection.down_stalled.set()
+
+    def reset_connections(self) -> None:
+        """Resets every open connection."""
+        for connection in self._connections:
+            for writer in (connection.writer, connection.target_writer):
+                writer.transport.abort()
+
+    def set_delay(self, seconds: float) -> None:
+        """Changes by how much data in each direction is delayed."""
+        self._up.delay = self._down.delay = seconds
 
     async def serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serves one connection; one that comes while connections are blocked stalls at once."""
-        stalled = asyncio.Event()
-        if self.blocked:
-            stalled.set()
-        self._stall_events.add(stalled)
         try:
             target_reader, target_writer = await asyncio.open_connection(
                 self._target.host, self._target.port
@@ -66,26 +89,37 @@
         except OSError:
             writer.close()
             return
+        connection = _Connection(writer, target_writer)
+        if self.blocked:
+            connection.up_stalled.set()
+            connection.down_stalled.set()
+        self._connections.add(connection)
         try:
             await asyncio.gather(
-                _forward(reader, target_writer, stalled, self._up),
-                _forward(target_reader, writer, stalled, self._down),
+                _forward(reader, target_writer, connection.up_stalled, self._up),
+                _forward(target_reader, writer, connection.down_stalled, self._down),
             )
         finally:
-            self._stall_events.discard(stalled)
+            self._connections.discard(connection)
             writer.close()
             target_writer.close()
 
     async def control(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Carries out a one-line order.
 
-        ``silence`` stalls the open connections, and ``block`` the new ones as well.  After any
-        order but ``block``, such as ``unblock``, new connections are served.
+        ``silence`` stalls the open connections, and ``block`` the new ones as well.  ``cut`` stalls
+        only what is sent to the target on the open connections, and ``reset`` resets these.
+        ``delay SECONDS`` delays all data from then on.  After any order but ``block``, such as
+        ``unblock``, new connections are served.
         """
-        order = (await reader.readline()).decode().strip()
+        order, _, value = (await reader.readline()).decode().strip().partition(" ")
         self.blocked = order == "block"
-        if order in ("silence", "block"):
-            self.stall_connections()
+        if order in ("silence", "block", "cut"):
+            self.stall_connections(both_ways=order != "cut")
+        elif order == "reset":
+            self.reset_connections()
+        elif order == "delay":
+            self.set_delay(float(value))
         writer.write(b"ok\n")
         await writer.drain()
         writer.close()
@@ -102,6 +136,8 @@
             if stalled.is_set():
                 await asyncio.Event().wait()
             await line.wait_for_transmission(len(data))
+            if line.delay:
+                await asyncio.sleep(line.delay)
             writer.write(data)
             await writer.drain()
     writer.close()
