Ping the peer of a long stream, which else takes its caller for gone

A caller of a stream with an answer every few milliseconds sent nothing for its whole length, and the server cancels the calls of a process from which nothing came for 3 s. Change: a ping is left out only if something was both received and sent within the last half interval. Calls with one answer, which are all that the platform's path makes, are pinged as before or more often.

--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,6 +1,7 @@
 """Links: answers after the timeout, and messages of unknown types."""
 
 import asyncio
+import contextlib
 import time
 
 import msgspec
@@ -103,6 +104,36 @@
     asyncio.run(check())
 
 
+def test_a_long_stream_is_not_cancelled_for_a_caller_that_only_receives(monkeypatch):
+    """The caller sent no pings while answers came, so the server took it for gone."""
+    monkeypatch.setattr(link, "SILENT_SECONDS", 0.4)
+    answers = 150
+
+    async def check():
+        context = zmq.asyncio.Context()
+        address = own_address()
+
+        async def stream(_envelope, reply):
+            for number in range(answers):
+                await asyncio.sleep(0.01)
+                reply(files.Done(), number == answers - 1)
+
+        server = Server(context, address, sender, time.monotonic, stream)
+        serving = asyncio.create_task(server.run())
+        caller = Link(context, address, sender, time.monotonic)
+        received = []
+        with contextlib.suppress(LinkSilentError):
+            async for answer in caller.stream(AskStatus(), 1.0):
+                received.append(answer)
+        await caller.close()
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+        context.destroy(linger=0)
+        return len(received)
+
+    assert asyncio.run(check()) == answers
+
+
 def test_a_message_type_of_a_newer_build_does_not_stop_a_server():
     async def check():
         context = zmq.asyncio.Context()
--- a/verbenashore/link.py
+++ b/verbenashore/link.py
@@ -146,7 +146,7 @@
         self._answers_by_call: dict[int, asyncio.Queue[Envelope | VerbenaError]] = {}
         self._abandoned_by_call: dict[int, tuple[str, float]] = {}
         self._socket = self._connect()
-        self._received_at = self._used_at = clock()
+        self._received_at = self._sent_at = self._used_at = clock()
         self._used = asyncio.Event()
         self._is_connected = True
         self._backlog = backlog
@@ -255,8 +255,9 @@
         return socket
 
     def _send_message(self, call_id: int, body: Body) -> None:
+        self._sent_at = self._clock()
         if not isinstance(body, Ping):
-            self._used_at = self._clock()
+            self._used_at = self._sent_at
             self._used.set()
             if not self._is_connected:
                 self._open()
@@ -310,7 +311,8 @@
         while True:
             if not self._answers_by_call and self._clock() - self._used_at > IDLE_SECONDS:
                 await self._close_until_used()
-            if self._clock() - self._received_at >= PING_INTERVAL_SECONDS / 2:
+            # The peer cancels the calls of a process that sends nothing, also while it answers one.
+            if self._clock() - min(self._received_at, self._sent_at) >= PING_INTERVAL_SECONDS / 2:
                 self._send_message(0, Ping())
             await asyncio.sleep(PING_INTERVAL_SECONDS)
             silent_since = self._received_at
