--- a/tests/soak.py
+++ b/tests/soak.py
@@ -90,16 +90,19 @@
             self._start(self._repeat, caller, f"c{number}", ENTRIES[number % 2])
         faults: list[threading.Thread] = []
         deadline = time.monotonic() + seconds
-        while time.monotonic() < deadline:
-            self._stop.wait(self._random.uniform(*FAULT_GAP_SECONDS))
-            fault = self._draw_fault()
-            if fault is not None:
-                faults.append(fault)
-        for thread in faults:
-            thread.join()
-        self._stop.set()
-        for thread in self._threads:
-            thread.join()
+        try:
+            while time.monotonic() < deadline:
+                self._stop.wait(self._random.uniform(*FAULT_GAP_SECONDS))
+                fault = self._draw_fault()
+                if fault is not None:
+                    faults.append(fault)
+            for thread in faults:
+                thread.join()
+        finally:
+            # Also ends the callers of a run that is interrupted.
+            self._stop.set()
+            for thread in self._threads:
+                thread.join()
         self._check_end()
 
     def _start(self, target: Callable[..., None], *arguments: object) -> threading.Thread:
@@ -192,11 +195,11 @@
         try:
             if way == "kill":
                 fleet.kill(name)
-                time.sleep(seconds / 4)
+                threading.Event().wait(seconds / 4)
                 fleet.restart(name)
             elif way == "freeze":
                 fleet.signal(name, signal.SIGSTOP)
-                time.sleep(seconds)
+                threading.Event().wait(seconds)
                 fleet.signal(name, signal.SIGCONT)
             elif way == "terminate":
                 code = fleet.terminate(name)
@@ -204,12 +207,12 @@
                 fleet.restart(name)
             else:
                 fleet.tell_relay(name, "delay 0.05" if way == "delay" else way)
-                time.sleep(seconds)
+                threading.Event().wait(seconds)
                 fleet.tell_relay(name, "delay 0" if way == "delay" else "unblock")
                 if way == "block":
                     fleet.tell_relay(name, "reset")
             # A restarted process counts as harmed until it can take part again.
-            time.sleep(2.0)
+            threading.Event().wait(2.0)
         except AssertionError as error:
             self._history.check(False, "no process ends by itself", error=str(error))
         finally:
