--- a/tests/soak.py
+++ b/tests/soak.py
@@ -29,8 +29,9 @@
 ENGINES = tuple(f"engine-{number}" for number in range(1, 7))
 AGENTS = tuple(f"agent-{engine}" for engine in ENGINES)
 CREDITS = ("credits-1", "credits-2", "credits-3")
+CREDIT_AGENTS = tuple(f"agent-{service}" for service in CREDITS)
 #: Processes of one kind that may be harmed at once, so that what the system promises can hold.
-HARMED_AT_ONCE = {LEDGERS: 1, AGENTS: 2, ENGINES: 1, ENTRIES: 1, CREDITS: 1}
+HARMED_AT_ONCE = {LEDGERS: 1, AGENTS: 2, ENGINES: 1, ENTRIES: 1, CREDITS: 2, CREDIT_AGENTS: 2}
 RELAYED = ("ledger-1", "ledger-2", "ledger-3", "agent-engine-3", "agent-engine-4", "engine-5")
 #: Seconds of one fault, shortest and longest, and between the starts of two.
 FAULT_SECONDS = (0.3, 4.0)
@@ -41,6 +42,8 @@
 MAX_RESIDENT_MB = 128
 MAX_DESCRIPTORS = 4000
 ITEMS = 20
+#: Several, so that some call is under way at any time: the stand-ins answer at once.
+POST_CALLERS = 6
 POST = "/v1/services/credits/accounts/9"
 
 
@@ -86,7 +89,7 @@
     def run(self, seconds: float) -> None:
         """Runs callers and faults for some time, then checks what must hold at the end."""
         callers: list[Callable[[str], None]] = [self._stream, self._post, self._submit, self._apply]
-        for number, caller in enumerate((*callers, self._stream, self._post)):
+        for number, caller in enumerate((*callers, self._stream, *[self._post] * POST_CALLERS)):
             self._start(self._repeat, caller, f"c{number}", ENTRIES[number % 2])
         faults: list[threading.Thread] = []
         deadline = time.monotonic() + seconds
@@ -178,7 +181,7 @@
         name = self._random.choice(kind)
         seconds = self._random.uniform(*FAULT_SECONDS)
         ways = ["kill", "freeze"] if kind is not CREDITS else ["freeze"]
-        if kind in (AGENTS, LEDGERS, ENTRIES):
+        if kind in (AGENTS, CREDIT_AGENTS, LEDGERS, ENTRIES):
             ways.append("terminate")
         if name in RELAYED:
             ways += ["silence", "block", "cut", "reset", "delay"]
