--- a/tests/soak.py
+++ b/tests/soak.py
@@ -88,7 +88,7 @@
 
     def run(self, seconds: float) -> None:
         """Runs callers and faults for some time, then checks what must hold at the end."""
-        callers: list[Callable[[str], None]] = [self._stream, self._post, self._submit, self._apply]
+        callers = [self._stream, self._post, self._submit, self._apply]
         for number, caller in enumerate((*callers, self._stream, *[self._post] * POST_CALLERS)):
             self._start(self._repeat, caller, f"c{number}", ENTRIES[number % 2])
         faults: list[threading.Thread] = []
@@ -126,7 +126,7 @@
                 self._stop.wait(0.2)
 
     def _stream(self, name: str, entry: str) -> None:
-        """Asks for a stream; a retry with the same key must get the same whole answer."""
+        """Asks for a stream twice with the same key; both answers must be the same whole one."""
         prompt = f"{name} asks"
         for _ in range(2):
             text = collect_stream(
--- a/verbenashore/link.py
+++ b/verbenashore/link.py
@@ -26,9 +26,9 @@
 from verbenashore.types import Clock
 
 PING_INTERVAL_SECONDS = 0.25
-#: Seconds after its last use in which a connection is closed.  Members call many ledger processes
-#: once, and each would have to answer the pings of all of them for ever.  It is longer than the
-#: pauses between the calls of a member that looks for a leader, which asks who answers pings.
+#: Seconds after its last use at which a connection is closed.  Members call many ledger processes
+#: once, and each of those would have to answer the pings of all members forever.  It is longer than
+#: the pauses between the calls of a member that looks for a leader among those that answer pings.
 IDLE_SECONDS = 3.0
 #: Seconds without a message after which a connection is replaced.
 SILENT_SECONDS = 1.5
