--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -139,3 +139,10 @@
 ):
     head = wire.DIALECT.read_head(status, headers)
     assert (head.not_run, head.replaced) == (not_run, replaced)
+
+
+def test_the_parts_of_a_prompt_are_read_in_order():
+    parts = b"5C1e:800, 91bd:410,e440:250"
+    headers = [(b"X-Verbenashore-Prompt-Prefix", parts), (b"x-other", b"1")]
+    assert wire.DIALECT.read_prompt(headers) == ("5c1e", "91bd", "e440")
+    assert wire.DIALECT.read_prompt([(b"x-other", b"1")]) == ()
--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -1,5 +1,6 @@
 """One call to one backend server, and whether its answer states that the call was run."""
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Callable
 from typing import Any
@@ -12,11 +13,18 @@
 from verbenashore.exceptions import BackendBusyError, BackendError, BackendReplacedError
 from verbenashore.httpclient import Exchange
 from verbenashore.logs import Event
+from verbenashore.settings import parse_address
+from verbenashore.types import Prompt
 
 #: Timeout of a new connection; the servers accept one within a few round trips.
 CONNECT_TIMEOUT_SECONDS = 0.1
 #: Timeout of a status check, which waits for a slot like any call.
 PROBE_TIMEOUT_SECONDS = 0.4
+#: Timeout of the connection that tells a crashed server from one that only broke a connection.  The
+#: port of a crashed one is closed, and refuses within a round trip.
+CRASH_CHECK_SECONDS = 0.05
+#: Steps of the errors of a connection that was established and then broken.
+BROKEN_STEPS = frozenset({"answer", "body", "exchange"})
 
 
 class Call(msgspec.Struct):
@@ -56,18 +64,24 @@
     replaced: bool
 
 
+#: Header names and values, in order.
+Headers = list[tuple[bytes, bytes]]
+
+
 class Dialect(msgspec.Struct, frozen=True):
     """How calls to the backend servers are encoded, and their answers decoded.
 
     :param call_headers: returns the headers of a call to a server, given the remaining seconds and
         the number of the last event, if any.
     :param read_head: decodes the status and headers of an answer.
+    :param read_prompt: returns the parts of a call's prompt from its headers, or none.
     """
 
     call_headers: Callable[
         [Call, BackendEntry, float | None, int | None], list[tuple[bytes, bytes]]
     ]
     read_head: Callable[[int, list[tuple[bytes, bytes]]], AnswerHead]
+    read_prompt: Callable[[Headers], Prompt] = lambda _headers: ()
 
 
 class OpenCall(msgspec.Struct):
@@ -99,6 +113,25 @@
     return response.status == 200
 
 
+async def has_crashed(server: BackendEntry, error: BackendError) -> bool:
+    """Returns whether a call failed because its server crashed.
+
+    Such a server has broken the call's connection, and refuses new ones.
+    """
+    if error.not_run or error.step not in BROKEN_STEPS:
+        return False
+    endpoint = parse_address(server.address)
+    try:
+        async with asyncio.timeout(CRASH_CHECK_SECONDS):
+            _, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    writer.close()
+    return False
+
+
 def failure_kind(error: BackendError) -> FailureKind:
     """Returns the kind of failure that an error stands for."""
     if error.step == "connect":
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -44,6 +44,7 @@
     JobId,
     MemberRole,
     MemberState,
+    Prompt,
 )
 from verbenashore.view import SystemView
 
@@ -122,6 +123,7 @@
     :param server: the server that has the call; "" while it is queued.
     :param step_since: when the current step began.
     :param received_at: when something last came from that server.
+    :param begun: whether a part of a successful answer has come in the latest attempt.
     """
 
     call: Call
@@ -140,6 +142,8 @@
     step: Step = Step.QUEUED
     step_since: float = 0.0
     received_at: float | None = None
+    prompt: Prompt = ()
+    begun: bool = False
 
     def set_server(self, server: BackendName, step: Step, now: float) -> None:
         """Records the server that has the call from now on; "" while the call is queued."""
@@ -360,6 +364,7 @@
         )
         relay = Relay(call, route, now, now + timeout, ticket, respond, step_since=now)
         relay.last_event = call.last_event
+        relay.prompt = self._dialect.read_prompt(call.headers)
         try:
             async with asyncio.timeout(relay.deadline - self._clock()):
                 await self._run_attempts(relay)
@@ -482,6 +487,7 @@
                 self._dispatcher.record_success(server.name)
                 return
             except BackendError as error:
+                await self._check_for_crash(relay, server, error)
                 self._record_failure(relay, server, error)
                 if relay.respond.started and relay.is_last_attempt:
                     raise ConnectionResetError(error.message) from error
@@ -494,6 +500,16 @@
                 self._load_reporter.mark_changed()
                 self._call_queue.wake()
 
+    async def _check_for_crash(
+        self, relay: Relay, server: BackendEntry, error: BackendError
+    ) -> None:
+        if relay.begun or not await backendcall.has_crashed(server, error):
+            return
+        self._process.metrics.count("backend_crashed")
+        logs.warning(
+            Event.BACKEND_CRASHED, server=server.name, call=relay.call.id, prompt=relay.prompt
+        )
+
     def _record_failure(self, relay: Relay, server: BackendEntry, error: BackendError) -> None:
         now = self._clock()
         relay.ticket.excluded.add(server.name)
@@ -512,6 +528,7 @@
             step=error.step,
             error=error.message,
             not_run=error.not_run,
+            begun=relay.begun,
             runs=relay.runs,
             last_event=relay.last_event,
             age=round(now - relay.arrived_at, 4),
@@ -578,6 +595,7 @@
         route = relay.route
         remaining = max(0.001, relay.deadline - self._clock())
         relay.runs += 1
+        relay.begun = False
         progress_timeout = remaining
         if not relay.is_last_attempt:
             share = STALL_SHARE if route.kind is RouteKind.STREAM else WHOLE_STALL_SHARE
@@ -603,11 +621,16 @@
                 relay.runs -= 1
             raise
 
+    def _record_begun(self, relay: Relay) -> None:
+        relay.begun = True
+
     async def _relay_whole_response(self, relay: Relay, opened: OpenCall) -> None:
         relay.set_step(Step.BODY, self._clock())
         parts = []
         async for part in opened.parts():
             relay.received_at = self._clock()
+            if opened.head.status == SUCCESS:
+                self._record_begun(relay)
             parts.append(part)
         body = b"".join(parts)
         head = opened.head
@@ -635,6 +658,7 @@
         resumable = relay.route.resumable
         async for part in opened.parts():
             relay.received_at = self._clock()
+            self._record_begun(relay)
             if not relay.is_last_attempt:
                 opened.exchange.set_read_timeout(pause * STALL_SHARE)
             data = self._complete_events(relay, splitter, part) if resumable else part
--- a/verbenashore/httpclient.py
+++ b/verbenashore/httpclient.py
@@ -135,7 +135,7 @@
             try:
                 event = self._connection.next_event()
             except h11.RemoteProtocolError as error:
-                raise BackendError(str(error), step="read", peer=self._peer) from None
+                raise BackendError(str(error), step="answer", peer=self._peer) from None
             if event is not h11.NEED_DATA:
                 return event
             if self.read_pause:
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -33,7 +33,7 @@
 from verbenashore.metrics import Metrics
 from verbenashore.prober import Prober
 from verbenashore.routing import RouteIndex
-from verbenashore.types import BackendName, Clock, JobId, ServiceName
+from verbenashore.types import BackendName, Clock, JobId, Prompt, ServiceName
 
 #: Seconds without data after which an attempt fails and the item moves to another server.
 STALL_SECONDS = 1.0
@@ -73,6 +73,7 @@
     :param run_seconds: the time for which the item ran on servers.
     :param paused_seconds: the time between its runs that is attributed to online calls.
     :param stopped_at: when its last run stopped.
+    :param prompt: the parts of the item's prompt.
     :param failed_at: servers at which an attempt failed; they are excluded until an attempt has
         failed at all servers of the service.
     """
@@ -84,6 +85,7 @@
     run_seconds: float = 0.0
     paused_seconds: float = 0.0
     stopped_at: float | None = None
+    prompt: Prompt = ()
     failed_at: set[BackendName] = msgspec.field(default_factory=set)
 
     @property
@@ -322,7 +324,8 @@
         """Returns the progress of an item, which starts from what an earlier leader committed."""
         progress = self._progress_by_key.get(key)
         if progress is None:
-            progress = Progress(item.events, last_event=item.last_event)
+            prompt = self._dialect.read_prompt(_headers(item))
+            progress = Progress(item.events, last_event=item.last_event, prompt=prompt)
             self._progress_by_key[key] = progress
         return progress
 
@@ -376,9 +379,12 @@
 
     async def _run_and_record(self, job: ItemJob, run: Run, progress: Progress) -> None:
         started = self._clock()
+        events_before = progress.events
         try:
             outcome = await self._run_attempt(job, run, progress)
         except BackendError as error:
+            if progress.events == events_before:
+                await self._check_for_crash(run, progress, error)
             self._metrics.count(f"{job.route}.item_retried")
             self._schedule_retry(run, progress, error)
             return
@@ -401,6 +407,11 @@
                 del self._run_by_key[run.key]
             self.wake()
 
+    async def _check_for_crash(self, run: Run, progress: Progress, error: BackendError) -> None:
+        if await backendcall.has_crashed(run.server, error):
+            self._metrics.count("backend_crashed")
+            logs.warning(Event.BACKEND_CRASHED, **_log_fields(run), prompt=progress.prompt)
+
     async def _record_outcome(
         self, job: ItemJob, index: int, outcome: Outcome, progress: Progress
     ) -> None:
@@ -459,7 +470,7 @@
 
     async def _run_attempt(self, job: ItemJob, run: Run, progress: Progress) -> Outcome:
         spec = job.items[run.key[1]].spec
-        headers = [(name.encode(), value.encode()) for name, value in spec.headers]
+        headers = _headers(job.items[run.key[1]])
         path = spec.target.partition("?")[0]
         call = Call(spec.id, job.host, "POST", spec.target, path, headers, spec.body)
         async with backendcall.open_call(
@@ -539,5 +550,9 @@
     return by_service
 
 
+def _headers(item: ItemState) -> backendcall.Headers:
+    return [(name.encode(), value.encode()) for name, value in item.spec.headers]
+
+
 def _log_fields(run: Run) -> dict[str, Any]:
     return {"job": run.key[0], "item": run.item_id, "server": run.server.name}
--- a/verbenashore/types.py
+++ b/verbenashore/types.py
@@ -19,11 +19,17 @@
 Term = NewType("Term", int)
 LogIndex = NewType("LogIndex", int)
 FencingNumber = NewType("FencingNumber", int)
+#: The id of one part of a prompt; prompts that begin alike share their first parts.
+PromptPart = NewType("PromptPart", str)
+#: The parts of one prompt in order; the last one is its own, or that of its session.
+Prompt = tuple[PromptPart, ...]
 
 CONTROL_GROUP = GroupId(0)
 
 #: Returns monotonic time in seconds.
 Clock = Callable[[], float]
+#: Returns the time of day as Unix time in seconds.
+UnixClock = Callable[[], float]
 
 
 class WorkClass(Enum):
