Stop placing calls at a server whose answers say that it leaves

Callers' requests reached a server that had announced in its answers (`Server-Leaving: 1`) that it leaves, for as long as the list named it ready, since nothing read that header.

The head of an answer now carries it as `leaving`, and `open_call` and `check_status` hand it on for every answer of the named server, whether or not it ran the call. Both require a handler, so no new caller can leave it out. The directory keeps the mark like a listed one: lists that still say ready don't undo it, while another address or a return after being unlisted is another server. Choices, queued calls and items all draw on the directory's accepting servers, so none of them needs a check of its own. A leader's mark changes the version of its list once; a member's mark changes none that is compared. Values other than 1 are ignored: a leaving server is soon listed, but one wrongly marked would get no calls for as long as it is listed.

An answer with status 421, or to another call, doesn't count, since it isn't known to be the named server's.

--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -64,6 +64,8 @@
     :param runs: the id, first event, outcome and headers of each call that it began to run.
     :param faults: by path prefix: ``break:N`` after N events, ``reset``, ``not-run``, ``500``,
         ``422``, or ``silent``.
+    :param says_leaving: whether its answers say that it leaves, whatever the list says.
+    :param on_answer: called for each call that it answers, whether or not it runs it.
     """
 
     def __init__(self, name, service, address, zone, gap=0.01, events=12):
@@ -73,6 +75,8 @@
         self.slots = 4
         self.runs = []
         self.faults = {}
+        self.says_leaving = False
+        self.on_answer = lambda: None
         self.stopping = asyncio.Event()
 
     def list_entry(self):
@@ -91,21 +95,24 @@
     async def handle_request(self, request, respond):
         """Answers one call or health check."""
         expected = request.headers.get(wire.EXPECT_INSTANCE, self.name)
+        leaving = {"server-leaving": "1"} if self.says_leaving else {}
+        own = {"x-verbenashore-instance-id": self.name} | leaving
         if expected != self.name:
-            await respond.send_json(421, {}, {"x-verbenashore-instance-id": self.name})
+            await respond.send_json(421, {}, own)
             return
         if request.path == "/health":
-            await respond.send_json(200, {}, {"x-verbenashore-instance-id": self.name})
+            await respond.send_json(503 if self.says_leaving else 200, {}, own)
             return
         fault = next((f for p, f in self.faults.items() if request.path.startswith(p)), "")
         call = request.headers[wire.REQUEST_ID]
+        self.on_answer()
         if fault == "not-run":
-            await respond.send_json(503, {}, {wire.NOT_EXECUTED: "1"})
+            await respond.send_json(503, {}, {wire.NOT_EXECUTED: "1"} | leaving)
             return
         first_event = int(request.headers.get(wire.LAST_EVENT_ID, "0")) + 1
         run = {"call": call, "first": first_event, "outcome": "cut", "headers": request.headers}
         self.runs.append(run)
-        headers = {wire.RESPONSE_STAMP: f"stamp-{self.name}", wire.REQUEST_ID: call}
+        headers = {wire.RESPONSE_STAMP: f"stamp-{self.name}", wire.REQUEST_ID: call} | leaving
         if fault == "reset":
             raise ConnectionResetError
         if fault == "silent":
--- /dev/null
+++ b/tests/test_backendcall.py
@@ -0,0 +1,70 @@
+"""One call to one server: which of its answers say something about that server."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from tests.platforms import wire
+from verbenashore import backendcall
+from verbenashore.backendcall import Call
+from verbenashore.directory import BackendEntry
+from verbenashore.exceptions import BackendError
+
+
+async def leaving_told(answer, ask):
+    """Returns the servers that are said to leave when one answers a call in a certain way."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer + b"content-length: 0\r\nconnection: close\r\n\r\n")
+        await writer.drain()
+        writer.close()
+
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    told = []
+    async with listener:
+        with contextlib.suppress(BackendError):
+            await ask(BackendEntry("b", "s", f"{host}:{port}", "d", 4, False), told.append)
+    return [server.name for server in told]
+
+
+async def run_call(server, on_leaving):
+    """Makes a call."""
+    call = Call("c", "h", "GET", "/x", "/x", [], b"")
+    async with backendcall.open_call(
+        wire.DIALECT,
+        server,
+        call,
+        remaining_seconds=None,
+        last_event=None,
+        progress_timeout=5.0,
+        on_leaving=on_leaving,
+    ) as opened:
+        assert not [part async for part in opened.parts()]
+
+
+async def run_status_check(server, on_leaving):
+    """Makes a status check."""
+    await backendcall.check_status(wire.DIALECT, server, "/health", on_leaving)
+
+
+@pytest.mark.parametrize("ask", [run_call, run_status_check])
+@pytest.mark.parametrize(
+    ("answer", "told"),
+    [
+        (b"HTTP/1.1 200 OK\r\n", []),
+        (b"HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\n", ["b"]),
+        (b"HTTP/1.1 500 Error\r\nServer-Leaving: 1\r\n", ["b"]),
+        (b"HTTP/1.1 503 Full\r\nX-Verbenashore-Not-Executed: 1\r\nServer-Leaving: 1\r\n", ["b"]),
+        (b"HTTP/1.1 421 Other\r\nServer-Leaving: 1\r\n", []),
+    ],
+)
+def test_only_answers_of_the_named_server_say_that_it_leaves(ask, answer, told):
+    assert asyncio.run(leaving_told(answer, ask)) == told
+
+
+def test_an_answer_to_another_call_does_not_say_who_leaves():
+    answer = b"HTTP/1.1 200 OK\r\nX-Verbenashore-Request-Id: other\r\nServer-Leaving: 1\r\n"
+    assert asyncio.run(leaving_told(answer, run_call)) == []
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -350,6 +350,36 @@
     )
 
 
+def reached(platform, engine, prefix, count):
+    """Makes some calls at one entry; returns how many of them reached an engine."""
+    before = len(engine.runs)
+    for n in range(count):
+        assert platform.call(f"{STREAM}a", f"{prefix}-{time.monotonic_ns()}-{n}")[0] == 200
+    return len(engine.runs) - before
+
+
+@pytest.mark.parametrize("fault", ["", "not-run", "500"])
+def test_an_engine_that_says_it_leaves_gets_no_new_calls_while_the_list_says_ready(platform, fault):
+    leaving = model_engines(platform)[0]
+    wait_until(lambda: reached(platform, leaving, "before", 3))
+    leaving.says_leaving = True
+    leaving.faults[STREAM] = fault
+    answers = []
+    leaving.on_answer = lambda: answers.append(time.monotonic())
+    try:
+        wait_until(lambda: reached(platform, leaving, "told", 1) or answers)
+        count = len(answers)
+        assert reached(platform, leaving, "after", 30) == 0 and len(answers) == count
+        threading.Event().wait(1.5)
+        assert reached(platform, leaving, "later", 30) == 0, "a list that was read since says ready"
+    finally:
+        leaving.says_leaving = False
+        leaving.on_answer = lambda: None
+        leaving.name += "b"
+    leaving.faults.clear()
+    wait_until(lambda: reached(platform, leaving, "renamed", 3))
+
+
 def test_shutdown_completes_open_calls_and_withdraws_readiness_at_once(platform):
     for engine in model_engines(platform):
         engine.gap = 0.1
--- a/tests/test_jobrunner.py
+++ b/tests/test_jobrunner.py
@@ -244,8 +244,8 @@
 
 
 def read_head(status, headers):
-    """Returns the head of a plain answer."""
-    return AnswerHead(status, headers, "", False, False)
+    """Returns the head of a plain answer; a header tells that the server leaves."""
+    return AnswerHead(status, headers, "", False, False, (b"leaving", b"1") in headers)
 
 
 def make_runner(job_table, server, commit, metrics, routes=None, further_servers=()):
@@ -331,6 +331,57 @@
     assert results[0].text == "\n".join(f"one\nmore {number}" for number in range(1, 41))
 
 
+async def items_by_server():
+    """Runs two jobs; the server of the first one's only item says that it leaves.
+
+    Returns how many items each of two servers got.
+    """
+    count_by_server = {"b": 0, "c": 0}
+
+    def answer(name, head):
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            count_by_server[name] += 1
+            writer.write(b"HTTP/1.1 200 OK\r\nconnection: close\r\n" + head + b"\r\n")
+            writer.write(b"id: 1\ndata: one\n\n")
+            writer.close()
+
+        return serve
+
+    leaving = await asyncio.start_server(answer("b", b"leaving: 1\r\n"), "127.0.0.1", 0)
+    staying = await asyncio.start_server(answer("c", b""), "127.0.0.1", 0)
+    servers = [
+        BackendEntry(
+            name, "s", ":".join(map(str, listener.sockets[0].getsockname())), "d", slots, False
+        )
+        for name, listener, slots in (("b", leaving, 8), ("c", staying, 4))
+    ]
+    job_table = ItemJobTable()
+
+    async def commit(command):
+        itemjobs.record_attempts(job_table, command)
+
+    runner = make_runner(
+        job_table, servers[0], commit, Metrics("ledger", ()), further_servers=servers[1:]
+    )
+    running = asyncio.create_task(runner.run())
+    for name, items in (("first", 1), ("second", 6)):
+        specs = [ItemSpec(f"{name}-{n}", "/b/x", [], b"", 1) for n in range(items)]
+        command = SubmitItemJob(name, "r", "h", specs, 18.0, 0.0, 3, 0, 60.0)
+        itemjobs.submit_job(job_table, command, 0.0)
+        runner.wake()
+        await wait_until(lambda job=name: all(i.listed for i in job_table.job_by_id[job].items))
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    leaving.close()
+    staying.close()
+    return count_by_server
+
+
+def test_a_server_that_says_it_leaves_gets_no_further_items():
+    assert asyncio.run(items_by_server()) == {"b": 1, "c": 6}
+
+
 async def run_with_routes(table):
     """Runs a job under a leader with a given route table; returns the outcomes recorded."""
     server = BackendEntry("b", "s", "127.0.0.1:1", "d", 4, False)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -139,3 +139,22 @@
 ):
     head = wire.DIALECT.read_head(status, headers)
     assert (head.not_run, head.replaced) == (not_run, replaced)
+
+
+@pytest.mark.parametrize(
+    ("headers", "leaving"),
+    [
+        ([], False),
+        ([(b"Server-Leaving", b"1")], True),
+        ([(b"server-leaving", b"0"), (b"SERVER-LEAVING", b"1")], True),
+        ([(b"server-leaving", b"1"), (b"server-leaving", b"0")], True),
+        ([(b"server-leaving", b"0")], False),
+        ([(b"server-leaving", b"true")], False),
+        ([(b"server-leaving", b"")], False),
+        ([(b"server-leaving", b"\xff")], False),
+    ],
+)
+def test_a_server_leaves_if_its_answer_says_so_by_the_number_1(headers, leaving):
+    for status in (200, 500, 503):
+        head = wire.DIALECT.read_head(status, headers)
+        assert head.leaving is leaving and head.headers == headers
--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from verbenashore import httpclient, logs
+from verbenashore import httpclient, logs, misc
 from verbenashore.directory import BackendEntry
 from verbenashore.dispatch import FailureKind
 from verbenashore.exceptions import BackendBusyError, BackendError, BackendReplacedError
@@ -47,6 +47,7 @@
     :param call: the id of the call that it answers; "" if it states none.
     :param not_run: the server states that it did not run the call.
     :param replaced: another server than the expected one answered; it did not run the call.
+    :param leaving: the server that answered states that it leaves.
     """
 
     status: int
@@ -54,6 +55,7 @@
     call: str
     not_run: bool
     replaced: bool
+    leaving: bool = False
 
 
 class Dialect(msgspec.Struct, frozen=True):
@@ -70,6 +72,10 @@
     read_head: Callable[[int, list[tuple[bytes, bytes]]], AnswerHead]
 
 
+#: Is called with a server that states that it leaves.
+LeavingHandler = Callable[[BackendEntry], None]
+
+
 class OpenCall(msgspec.Struct):
     """A call whose response head was received."""
 
@@ -85,18 +91,57 @@
         return exchange.parts()
 
 
-async def check_status(dialect: Dialect, server: BackendEntry, path: str) -> bool:
-    """Runs a server's status check; false if it fails or the server can't be reached."""
-    status_call = Call("", server.address, "GET", path, path, [], b"")
-    headers = dialect.call_headers(status_call, server, None, None)
+async def check_status(
+    dialect: Dialect, server: BackendEntry, path: str, on_leaving: LeavingHandler
+) -> bool:
+    """Runs a server's status check; false if it fails or the server can't be reached.
+
+    :param on_leaving: called if the server states that it leaves.
+    """
+    timeout_error = BackendError("no response in time", step="read", peer=server.address)
     try:
-        response = await httpclient.request(
-            server.address, "GET", path, seconds=PROBE_TIMEOUT_SECONDS, headers=headers
+        head = await misc.with_timeout(
+            PROBE_TIMEOUT_SECONDS, _ask_status(dialect, server, path, on_leaving), timeout_error
         )
     except BackendError as error:
         logs.info(Event.PROBE_FAILED, server=server.name, step=error.step, error=error.message)
         return False
-    return response.status == 200
+    return head.status == 200
+
+
+async def _ask_status(
+    dialect: Dialect, server: BackendEntry, path: str, on_leaving: LeavingHandler
+) -> AnswerHead:
+    status_call = Call("", server.address, "GET", path, path, [], b"")
+    headers = dialect.call_headers(status_call, server, None, None)
+    async with httpclient.exchange(
+        server.address, "GET", path, b"", PROBE_TIMEOUT_SECONDS, headers
+    ) as exchange:
+        head = _read_head(dialect, server, status_call.id, exchange, on_leaving)
+        async for _ in exchange.parts():
+            pass
+        return head
+
+
+def _read_head(
+    dialect: Dialect,
+    server: BackendEntry,
+    call_id: str,
+    exchange: Exchange,
+    on_leaving: LeavingHandler,
+) -> AnswerHead:
+    """Decodes the head of the answer to a call, and reports a server that states that it leaves.
+
+    :param call_id: "" for a status check, of which servers may echo any id.
+    :raises BackendError: if the answer belongs to another call.
+    """
+    head = dialect.read_head(exchange.status, exchange.headers)
+    if call_id and head.call not in ("", call_id):
+        raise BackendError("the response belongs to another call", step="head", peer=server.name)
+    # The answer of another server at this address says nothing about the expected one.
+    if head.leaving and not head.replaced:
+        on_leaving(server)
+    return head
 
 
 def failure_kind(error: BackendError) -> FailureKind:
@@ -115,12 +160,14 @@
     remaining_seconds: float | None,
     last_event: int | None,
     progress_timeout: float,
+    on_leaving: LeavingHandler,
     on_connected: Callable[[], None] = lambda: None,
 ) -> AsyncIterator[OpenCall]:
     """Sends a call and yields its answer; leaving the block early cancels the work at the server.
 
     :param remaining_seconds: remaining seconds for the whole call, sent to the server.
     :param progress_timeout: timeout in seconds for each further part of the answer.
+    :param on_leaving: called if the server states that it leaves, whether or not it ran the call.
     :param on_connected: called when the connection is established.
     :raises BackendBusyError: the server states that it did not run the call.
     :raises BackendReplacedError: another server has the address; it did not run the call.
@@ -137,11 +184,7 @@
         CONNECT_TIMEOUT_SECONDS,
         on_connected,
     ) as exchange:
-        head = dialect.read_head(exchange.status, exchange.headers)
-        if head.call and head.call != call.id:
-            raise BackendError(
-                "the response belongs to another call", step="head", peer=server.name
-            )
+        head = _read_head(dialect, server, call.id, exchange, on_leaving)
         if head.replaced:
             raise BackendReplacedError(
                 "another server has this address", step="head", peer=server.name, not_run=True
--- a/verbenashore/directory.py
+++ b/verbenashore/directory.py
@@ -27,7 +27,7 @@
 class DirectoryChange(msgspec.Struct, frozen=True):
     """The differences between two successive lists.
 
-    :param leaving: servers that are listed as leaving for the first time.
+    :param leaving: servers that are listed as leaving and were not known to leave.
     :param gone: servers that are no longer listed.
     """
 
@@ -42,8 +42,8 @@
 class Directory:
     """The backend servers that are known.
 
-    A server that was listed as leaving stays leaving while it is listed with the same address: a
-    stale copy of the list that arrives late must not make it available again.
+    A server that was listed as leaving, or said so itself, stays leaving while it is listed with
+    the same address: a stale copy of the list that arrives late must not make it available again.
 
     :param read_at: when the newest list was read, on this process's clock.
     :param version: increases with each change of the list.
@@ -78,6 +78,19 @@
             self._index_accepting()
         return change
 
+    def mark_leaving(self, server: BackendEntry) -> bool:
+        """Marks a server as leaving because it said so itself, ahead of the list.
+
+        Returns False if that was known, or if the server is no longer listed with its address.
+        """
+        entry = self.by_name.get(server.name)
+        if entry is None or entry.address != server.address or entry.leaving:
+            return False
+        self.by_name[server.name] = msgspec.structs.replace(entry, leaving=True)
+        self.version += 1
+        self._index_accepting()
+        return True
+
     @property
     def services(self) -> Iterable[ServiceName]:
         """The services of which a server accepts new work."""
--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -270,6 +270,10 @@
         health = self._health_by_name.setdefault(name, Health())
         health.avoid_until = max(health.avoid_until, now + FULL_BACKOFF_SECONDS)
 
+    def record_leaving(self, server: BackendEntry) -> bool:
+        """Records that a server stated that it leaves; returns True if that was not known."""
+        return self._directory.mark_leaving(server)
+
     def forget(self, names: list[BackendName]) -> None:
         """Drops the health of servers that are no longer listed."""
         for name in names:
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -591,6 +591,7 @@
                 remaining_seconds=remaining,
                 last_event=relay.last_event,
                 progress_timeout=progress_timeout,
+                on_leaving=self._prober.record_leaving,
                 on_connected=lambda: relay.set_step(Step.HEAD, self._clock()),
             ) as opened:
                 relay.received_at = self._clock()
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -469,6 +469,7 @@
             remaining_seconds=None,
             last_event=progress.last_event,
             progress_timeout=STALL_SECONDS,
+            on_leaving=self._prober.record_leaving,
         ) as opened:
             status = opened.head.status
             if status == IMPOSSIBLE_STATUS:
--- a/verbenashore/prober.py
+++ b/verbenashore/prober.py
@@ -1,4 +1,4 @@
-"""Probes suspected backend servers, and records the suspects that other members report."""
+"""Probes suspected backend servers, and records what answers and other members say of servers."""
 
 import asyncio
 from collections.abc import Callable
@@ -22,7 +22,7 @@
     """The probes of one process.
 
     :param routes: returns the route table in force, which holds each service's status check path.
-    :param on_change: called when a server becomes suspected or is readmitted.
+    :param on_change: called when a server becomes suspected, is readmitted or says that it leaves.
     """
 
     def __init__(
@@ -49,6 +49,12 @@
         else:
             self._record_failure(name, backendcall.failure_kind(error))
 
+    def record_leaving(self, server: BackendEntry) -> None:
+        """Records that a server stated in an answer that it leaves."""
+        if self._dispatcher.record_leaving(server):
+            logs.info(Event.BACKEND_LEAVING, server=server.name)
+            self._on_change()
+
     def record_suspects(self, report: Report) -> None:
         """Records the suspects that a member reports or passes on, unless it has before."""
         previous = self._suspects_by_member.get(report.member, frozenset())
@@ -79,7 +85,9 @@
     async def _probe(self, server: BackendEntry) -> None:
         service = self._routes().service_by_name.get(server.service)
         path = service.health_path if service is not None else ""
-        if path and await backendcall.check_status(self._dialect, server, path):
+        if path and await backendcall.check_status(
+            self._dialect, server, path, self.record_leaving
+        ):
             self._dispatcher.record_probe_success(server.name)
             logs.info(Event.BACKEND_READMITTED, server=server.name)
             self._on_change()
