Stop placing calls at a server that another one has replaced

A crashed server comes back at its address under another name while the list still has the former one. Calls placed there were answered 421; callers got a 502 or 503 after five such answers, or ran out of time.

Status 421 counted as a soft failure, of which three suspect a server, each used up one of the call's refusals like a busy server, and a status check that another server answered left no trace, so that calls were tried there again after `SUSPECT_RETRY_SECONDS`.

An answer in which another server names itself now proves the server replaced: one is enough, the other members hear of it like of an unreachable server, and it gets no calls until the list drops the name or gives it another address, a status check succeeds, or 10 s have passed. Such answers no longer count as refusals: each excludes a server for the call, so the call still ends. A 421 that names no other server counts as before, since a server also refuses a call of its own so, for example one that expects another version of its weights.

Lists: a name with another address is another server in each respect; its health was kept. Dispatcher: failures of servers that aren't listed any more are ignored; they would be suspected, and reported, for ever.

--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -64,6 +64,8 @@
     :param runs: the id, first event, outcome and headers of each call that it began to run.
     :param faults: by path prefix: ``break:N`` after N events, ``reset``, ``not-run``, ``500``,
         ``422``, or ``silent``.
+    :param listed_name: the name in the list, which lags behind the engine's own.
+    :param misdirected: how many calls it answered that were meant for another engine.
     :param says_leaving: whether its answers say that it leaves, whatever the list says.
     :param on_answer: called for each call that it answers, whether or not it runs it.
     """
@@ -75,6 +77,8 @@
         self.slots = 4
         self.runs = []
         self.faults = {}
+        self.listed_name = None
+        self.misdirected = 0
         self.says_leaving = False
         self.on_answer = lambda: None
         self.stopping = asyncio.Event()
@@ -82,7 +86,7 @@
     def list_entry(self):
         """Returns the engine's entry in the platform's list."""
         return {
-            "id": self.name,
+            "id": self.listed_name or self.name,
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
@@ -98,6 +102,7 @@
         leaving = {"server-leaving": "1"} if self.says_leaving else {}
         own = {"x-verbenashore-instance-id": self.name} | leaving
         if expected != self.name:
+            self.misdirected += request.path != "/health"
             await respond.send_json(421, {}, own)
             return
         if request.path == "/health":
--- a/tests/test_backendcall.py
+++ b/tests/test_backendcall.py
@@ -9,7 +9,7 @@
 from verbenashore import backendcall
 from verbenashore.backendcall import Call
 from verbenashore.directory import BackendEntry
-from verbenashore.exceptions import BackendError
+from verbenashore.exceptions import BackendError, BackendReplacedError
 
 
 async def leaving_told(answer, ask):
@@ -59,6 +59,8 @@
         (b"HTTP/1.1 500 Error\r\nServer-Leaving: 1\r\n", ["b"]),
         (b"HTTP/1.1 503 Full\r\nX-Verbenashore-Not-Executed: 1\r\nServer-Leaving: 1\r\n", ["b"]),
         (b"HTTP/1.1 421 Other\r\nServer-Leaving: 1\r\n", []),
+        (b"HTTP/1.1 200 OK\r\nX-Verbenashore-Instance-Id: other\r\nServer-Leaving: 1\r\n", []),
+        (b"HTTP/1.1 200 OK\r\nX-Verbenashore-Instance-Id: b\r\nServer-Leaving: 1\r\n", ["b"]),
     ],
 )
 def test_only_answers_of_the_named_server_say_that_it_leaves(ask, answer, told):
@@ -68,3 +70,30 @@
 def test_an_answer_to_another_call_does_not_say_who_leaves():
     answer = b"HTTP/1.1 200 OK\r\nX-Verbenashore-Request-Id: other\r\nServer-Leaving: 1\r\n"
     assert asyncio.run(leaving_told(answer, run_call)) == []
+
+
+@pytest.mark.parametrize(
+    ("headers", "error"),
+    [
+        (b"X-Verbenashore-Instance-Id: other\r\n", BackendReplacedError),
+        (b"X-Verbenashore-Instance-Id: b\r\n", BackendError),
+        (b"", BackendError),
+    ],
+)
+def test_a_server_is_replaced_only_if_another_one_names_itself(headers, error):
+    """Guards a server that refused a call for another reason, such as an expected version."""
+
+    async def raised():
+        errors = []
+
+        async def ask(server, on_leaving):
+            try:
+                await run_call(server, on_leaving)
+            except BackendError as caught:
+                errors.append(caught)
+
+        await leaving_told(b"HTTP/1.1 421 Other\r\n" + headers, ask)
+        return errors
+
+    (caught,) = asyncio.run(raised())
+    assert type(caught) is error and caught.not_run
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -39,6 +39,17 @@
     assert directory.accepting_servers("notes") == []
 
 
+def test_a_name_with_another_address_is_another_server():
+    directory = Directory()
+    directory.install_list([LEAVING], 1.0)
+    moved = msgspec.structs.replace(SERVER, address="10.0.0.2:80")
+    change = directory.install_list([moved], 2.0)
+    assert change.added == [moved] and change.gone == [LEAVING]
+    gone_leaving = msgspec.structs.replace(moved, leaving=True)
+    directory.install_list([gone_leaving], 3.0)
+    assert directory.install_list([LEAVING], 4.0).leaving == [LEAVING]
+
+
 def test_the_version_increases_only_with_changes():
     directory = Directory()
     directory.install_list([SERVER], 1.0)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -3,6 +3,7 @@
 import heapq
 import random
 
+import msgspec
 import pytest
 
 from verbenashore import dispatch
@@ -10,12 +11,15 @@
 from verbenashore.dispatch import (
     MAX_SUSPEND_SECONDS,
     PROBE_SECONDS,
+    REPLACED_PROBE_SECONDS,
+    REPLACED_RETRY_SECONDS,
     SUSPECT_RETRY_SECONDS,
     Dispatcher,
     FailureKind,
     Ticket,
     Verdict,
 )
+from verbenashore.listing import BackendListUpdater
 from verbenashore.loadtable import Load, LoadTable, Report
 
 OBJECTIVE = 0.3
@@ -146,6 +150,53 @@
     assert dispatcher.may_use("s0", 0.5) and not dispatcher.suspects
 
 
+def test_a_replaced_server_gets_no_calls_after_one_of_them_reached_another_server():
+    """Guards the calls that were placed at a crashed server until the list dropped its name."""
+    dispatcher = make_dispatcher(make_servers(2))
+    assert dispatcher.record_failure("s0", FailureKind.REPLACED, 0.0)
+    assert dispatcher.suspects == ["s0"], "the other members need no such answer of their own"
+    assert not dispatcher.may_use("s0", SUSPECT_RETRY_SECONDS + MAX_SUSPEND_SECONDS)
+    assert not dispatcher.may_use("s0", REPLACED_RETRY_SECONDS - 0.01)
+    assert dispatcher.may_use("s0", REPLACED_RETRY_SECONDS), "the answer may have been wrong"
+    assert not dispatcher.record_failure("s0", FailureKind.REPLACED, REPLACED_RETRY_SECONDS)
+    assert not dispatcher.may_use("s0", 2 * REPLACED_RETRY_SECONDS - 0.01)
+
+
+def test_a_replaced_server_is_probed_soon_and_then_less_often():
+    dispatcher = make_dispatcher(make_servers(1))
+    dispatcher.record_failure("s0", FailureKind.REPLACED, 0.0)
+    assert dispatcher.due_probes(PROBE_SECONDS)
+    dispatcher.record_failure("s0", FailureKind.REPLACED, PROBE_SECONDS)
+    assert not dispatcher.due_probes(PROBE_SECONDS + REPLACED_PROBE_SECONDS - 0.01)
+    assert dispatcher.due_probes(PROBE_SECONDS + REPLACED_PROBE_SECONDS)
+    dispatcher.record_probe_success("s0")
+    assert dispatcher.may_use("s0", PROBE_SECONDS + REPLACED_PROBE_SECONDS)
+
+
+@pytest.mark.parametrize("change", ["gone", "moved"])
+def test_a_replaced_server_is_forgotten_when_the_list_changes_for_its_name(change):
+    directory = Directory()
+    dispatcher = Dispatcher(directory, LoadTable(), "dc")
+    updater = BackendListUpdater(directory, dispatcher, None, lambda: 5.0, lambda: None)
+    (server,) = make_servers(1)
+    updater.install([server], 0.0)
+    dispatcher.record_failure("s0", FailureKind.REPLACED, 0.0)
+    updater.install([server], 1.0)
+    assert not dispatcher.may_use("s0", 1.0)
+    if change == "gone":
+        updater.install([], 2.0)
+    else:
+        server = msgspec.structs.replace(server, address="10.0.1.1:80")
+    updater.install([server], 3.0)
+    assert dispatcher.may_use("s0", 3.0) and not dispatcher.has_suspects
+
+
+def test_a_failure_after_its_server_left_the_list_is_not_kept_or_reported():
+    dispatcher = make_dispatcher(make_servers(1))
+    assert not dispatcher.record_failure("gone", FailureKind.REPLACED, 0.0)
+    assert dispatcher.suspects == [] and not dispatcher.has_suspects
+
+
 def test_a_wrong_status_check_does_not_exclude_a_server_for_ever():
     dispatcher = make_dispatcher(make_servers(1))
     dispatcher.record_failure("s0", FailureKind.UNREACHABLE, 0.0)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -380,6 +380,22 @@
     wait_until(lambda: reached(platform, leaving, "renamed", 3))
 
 
+def test_an_engine_under_a_new_name_refuses_one_call_and_gets_others_once_it_is_listed(platform):
+    """Guards calls that reach an engine which came back while the list has its former name."""
+    engine = model_engines(platform)[0]
+    wait_until(lambda: reached(platform, engine, "former", 3))
+    engine.listed_name, engine.name = engine.name, f"{engine.name}c"
+    try:
+        assert reached(platform, engine, "misdirected", 40) == 0
+        assert engine.misdirected == 1
+        threading.Event().wait(1.5)
+        reached(platform, engine, "still", 20)
+        assert engine.misdirected == 1
+    finally:
+        engine.listed_name = None
+    wait_until(lambda: reached(platform, engine, "listed", 3))
+
+
 def test_shutdown_completes_open_calls_and_withdraws_readiness_at_once(platform):
     for engine in model_engines(platform):
         engine.gap = 0.1
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -126,19 +126,21 @@
 
 
 @pytest.mark.parametrize(
-    ("status", "headers", "not_run", "replaced"),
+    ("status", "headers", "not_run", "misdirected", "answered_by"),
     [
-        (200, [], False, False),
-        (503, [(b"X-Verbenashore-Not-Executed", b"1")], True, False),
-        (503, [], False, False),
-        (421, [], False, True),
+        (200, [], False, False, ""),
+        (503, [(b"X-Verbenashore-Not-Executed", b"1")], True, False, ""),
+        (503, [], False, False, ""),
+        (421, [], False, True, ""),
+        (421, [(b"X-Verbenashore-Instance-Id", b"i-2")], False, True, "i-2"),
     ],
 )
 def test_only_a_server_that_says_so_counts_as_not_having_run_the_call(
-    status, headers, not_run, replaced
+    status, headers, not_run, misdirected, answered_by
 ):
     head = wire.DIALECT.read_head(status, headers)
-    assert (head.not_run, head.replaced) == (not_run, replaced)
+    assert (head.not_run, head.misdirected) == (not_run, misdirected)
+    assert head.answered_by == answered_by
 
 
 @pytest.mark.parametrize(
--- a/tests/test_relayed.py
+++ b/tests/test_relayed.py
@@ -6,11 +6,13 @@
 
 from standins.relay import Line
 from tests.gateways import gateway
+from tests.platforms import wire
 from tests.slowlines import BYTES_PER_SECOND, start_slow_relay
 from verbenashore import backendcall, logs
 from verbenashore.backendcall import Call
 from verbenashore.directory import BackendEntry
 from verbenashore.exceptions import DeadlineError
+from verbenashore.gateway import MAX_REFUSALS
 from verbenashore.logs import Event
 from verbenashore.routing import Route, RouteKind, Share
 
@@ -172,3 +174,45 @@
 @pytest.mark.parametrize("size", [1_000, 400_000])
 def test_a_call_with_a_long_body_is_not_moved_to_another_server_while_it_is_sent(size):
     assert asyncio.run(count_servers_of_upload(size)) == 1
+
+
+async def relay_past_replaced_servers(count, kind):
+    """Relays calls while the servers nearby are replaced by others; returns their answers."""
+    heads = []
+
+    def answer(head):
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            heads.append(head)
+            writer.write(b"HTTP/1.1 " + head + b"\r\n")
+            writer.write(b"content-length: 0\r\nconnection: close\r\n\r\n")
+            await writer.drain()
+            writer.close()
+
+        return serve
+
+    other = await asyncio.start_server(
+        answer(b"421 Other\r\nX-Verbenashore-Instance-Id: new"), "127.0.0.1", 0
+    )
+    far = await asyncio.start_server(answer(b"200 OK"), "127.0.0.1", 0)
+    addresses = [":".join(map(str, one.sockets[0].getsockname())) for one in (other, far)]
+    route = Route("r", "h", "/l/", kind, 5.0, 5.0, (Share("s", 1),))
+    async with gateway() as entry:
+        entry._dialect = wire.DIALECT
+        servers = [BackendEntry(f"b{n}", "s", addresses[0], "d", 4, False) for n in range(count)]
+        servers.append(BackendEntry("far", "s", addresses[1], "other", 4, False))
+        entry._list_updater.install(servers, entry._clock())
+        for n in range(3):
+            call = Call(f"c{n}", "h", "GET", "/l/x", "/l/x", [], b"", 5.0)
+            await entry.relay(call, route, FakeResponder())
+    other.close()
+    far.close()
+    return [head.partition(b" ")[0] for head in heads]
+
+
+@pytest.mark.parametrize("kind", [RouteKind.ONCE, RouteKind.REPEATABLE])
+def test_a_call_passes_any_number_of_replaced_servers_and_later_ones_pass_none(kind):
+    """Guards calls that got a 502 or 503 after five servers that are no longer there."""
+    count = MAX_REFUSALS + 3
+    answers = asyncio.run(relay_past_replaced_servers(count, kind))
+    assert answers == [b"421"] * count + [b"200"] * 3
--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -6,12 +6,11 @@
 
 import msgspec
 
-from verbenashore import httpclient, logs, misc
+from verbenashore import httpclient, misc
 from verbenashore.directory import BackendEntry
 from verbenashore.dispatch import FailureKind
 from verbenashore.exceptions import BackendBusyError, BackendError, BackendReplacedError
 from verbenashore.httpclient import Exchange
-from verbenashore.logs import Event
 
 #: Timeout of a new connection; the servers accept one within a few round trips.
 CONNECT_TIMEOUT_SECONDS = 0.1
@@ -46,16 +45,22 @@
     :param headers: those that are forwarded to the caller.
     :param call: the id of the call that it answers; "" if it states none.
     :param not_run: the server states that it did not run the call.
-    :param replaced: another server than the expected one answered; it did not run the call.
+    :param misdirected: the server states that the call is not for it, and did not run it.
     :param leaving: the server that answered states that it leaves.
+    :param answered_by: the name of the server that answered; "" if it states none.
     """
 
     status: int
     headers: list[tuple[bytes, bytes]]
     call: str
     not_run: bool
-    replaced: bool
+    misdirected: bool
     leaving: bool = False
+    answered_by: str = ""
+
+    def is_from_other(self, server: BackendEntry) -> bool:
+        """Returns whether the server that answered states another name than a server's."""
+        return self.answered_by not in ("", server.name)
 
 
 class Dialect(msgspec.Struct, frozen=True):
@@ -93,59 +98,68 @@
 
 async def check_status(
     dialect: Dialect, server: BackendEntry, path: str, on_leaving: LeavingHandler
-) -> bool:
-    """Runs a server's status check; false if it fails or the server can't be reached.
+) -> None:
+    """Runs a server's status check.
 
     :param on_leaving: called if the server states that it leaves.
+    :raises BackendReplacedError: another server has the address.
+    :raises BackendError: the check fails, or the server can't be reached.
     """
     timeout_error = BackendError("no response in time", step="read", peer=server.address)
-    try:
-        head = await misc.with_timeout(
-            PROBE_TIMEOUT_SECONDS, _ask_status(dialect, server, path, on_leaving), timeout_error
-        )
-    except BackendError as error:
-        logs.info(Event.PROBE_FAILED, server=server.name, step=error.step, error=error.message)
-        return False
-    return head.status == 200
+    asking = _ask_status(dialect, server, path, on_leaving)
+    await misc.with_timeout(PROBE_TIMEOUT_SECONDS, asking, timeout_error)
 
 
 async def _ask_status(
     dialect: Dialect, server: BackendEntry, path: str, on_leaving: LeavingHandler
-) -> AnswerHead:
+) -> None:
     status_call = Call("", server.address, "GET", path, path, [], b"")
     headers = dialect.call_headers(status_call, server, None, None)
     async with httpclient.exchange(
         server.address, "GET", path, b"", PROBE_TIMEOUT_SECONDS, headers
     ) as exchange:
-        head = _read_head(dialect, server, status_call.id, exchange, on_leaving)
+        head = dialect.read_head(exchange.status, exchange.headers)
+        _check_server(head, server, on_leaving)
         async for _ in exchange.parts():
             pass
-        return head
+    if head.is_from_other(server):
+        raise _replaced_error(head, server)
+    if head.status != 200:
+        raise BackendError(f"status {head.status}", step="head", peer=server.name, not_run=True)
 
 
-def _read_head(
-    dialect: Dialect,
-    server: BackendEntry,
-    call_id: str,
-    exchange: Exchange,
-    on_leaving: LeavingHandler,
-) -> AnswerHead:
-    """Decodes the head of the answer to a call, and reports a server that states that it leaves.
+def _check_server(head: AnswerHead, server: BackendEntry, on_leaving: LeavingHandler) -> None:
+    """Checks that the expected server took a call for its own, and reports it if it leaves.
 
-    :param call_id: "" for a status check, of which servers may echo any id.
-    :raises BackendError: if the answer belongs to another call.
+    :raises BackendReplacedError: another server refused the call.
+    :raises BackendError: a server that doesn't name itself, or the expected one, refused it as not
+        meant for it.
     """
-    head = dialect.read_head(exchange.status, exchange.headers)
-    if call_id and head.call not in ("", call_id):
-        raise BackendError("the response belongs to another call", step="head", peer=server.name)
-    # The answer of another server at this address says nothing about the expected one.
-    if head.leaving and not head.replaced:
+    if head.misdirected and head.is_from_other(server):
+        raise _replaced_error(head, server)
+    if head.misdirected:
+        # The expected server may refuse a call for another reason, such as a version that the
+        # caller expects.
+        raise BackendError(
+            f"status {head.status}: the call is not meant for the server",
+            step="head",
+            peer=server.name,
+            not_run=True,
+        )
+    if head.leaving and not head.is_from_other(server):
         on_leaving(server)
-    return head
+
+
+def _replaced_error(head: AnswerHead, server: BackendEntry) -> BackendReplacedError:
+    return BackendReplacedError(
+        f"{head.answered_by} has the server's address", step="head", peer=server.name, not_run=True
+    )
 
 
 def failure_kind(error: BackendError) -> FailureKind:
     """Returns the kind of failure that an error stands for."""
+    if isinstance(error, BackendReplacedError):
+        return FailureKind.REPLACED
     if error.step == "connect":
         return FailureKind.UNREACHABLE
     return FailureKind.SILENT if error.step == "read" else FailureKind.BROKEN
@@ -184,11 +198,12 @@
         CONNECT_TIMEOUT_SECONDS,
         on_connected,
     ) as exchange:
-        head = _read_head(dialect, server, call.id, exchange, on_leaving)
-        if head.replaced:
-            raise BackendReplacedError(
-                "another server has this address", step="head", peer=server.name, not_run=True
+        head = dialect.read_head(exchange.status, exchange.headers)
+        if head.call and head.call != call.id:
+            raise BackendError(
+                "the response belongs to another call", step="head", peer=server.name
             )
+        _check_server(head, server, on_leaving)
         if head.not_run:
             raise BackendBusyError(
                 f"status {head.status}: the server did not run the call",
--- a/verbenashore/directory.py
+++ b/verbenashore/directory.py
@@ -27,6 +27,8 @@
 class DirectoryChange(msgspec.Struct, frozen=True):
     """The differences between two successive lists.
 
+    A name that is listed with another address is another server.
+
     :param leaving: servers that are listed as leaving and were not known to leave.
     :param gone: servers that are no longer listed.
     """
@@ -65,13 +67,14 @@
         before = self.by_name
         self.by_name = {entry.name: self._keep_leaving(entry) for entry in entries}
         change = DirectoryChange(
-            [entry for name, entry in self.by_name.items() if name not in before],
+            _missing_from(before, self.by_name),
             [
                 entry
-                for name, entry in self.by_name.items()
-                if entry.leaving and not (name in before and before[name].leaving)
+                for entry in self.by_name.values()
+                if entry.leaving
+                and not ((previous := _same_server(before, entry)) and previous.leaving)
             ],
-            [entry for name, entry in before.items() if name not in self.by_name],
+            _missing_from(self.by_name, before),
         )
         if self.by_name != before:
             self.version += 1
@@ -83,8 +86,8 @@
 
         Returns False if that was known, or if the server is no longer listed with its address.
         """
-        entry = self.by_name.get(server.name)
-        if entry is None or entry.address != server.address or entry.leaving:
+        entry = _same_server(self.by_name, server)
+        if entry is None or entry.leaving:
             return False
         self.by_name[server.name] = msgspec.structs.replace(entry, leaving=True)
         self.version += 1
@@ -120,8 +123,22 @@
                 self._slots_by_service[entry.service] += entry.slots
 
     def _keep_leaving(self, entry: BackendEntry) -> BackendEntry:
-        previous = self.by_name.get(entry.name)
-        same_address = previous is not None and previous.address == entry.address
-        if previous is not None and same_address and previous.leaving:
+        previous = _same_server(self.by_name, entry)
+        if previous is not None and previous.leaving:
             return msgspec.structs.replace(entry, leaving=True)
         return entry
+
+
+def _same_server(
+    by_name: dict[BackendName, BackendEntry], server: BackendEntry
+) -> BackendEntry | None:
+    """Returns the entry with the name and address of a server, or None if there is none."""
+    entry = by_name.get(server.name)
+    return entry if entry is not None and entry.address == server.address else None
+
+
+def _missing_from(
+    known: dict[BackendName, BackendEntry], by_name: dict[BackendName, BackendEntry]
+) -> list[BackendEntry]:
+    """Returns the servers that aren't known."""
+    return [entry for entry in by_name.values() if _same_server(known, entry) is None]
--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -26,9 +26,15 @@
 #: sets the least value.
 SUSPEND_SECONDS = 0.3
 MAX_SUSPEND_SECONDS = 2.0
+#: Seconds after which a replaced server may get calls although no probe succeeded, and between two
+#: of its probes.  Its name leaves the list before, unless the answer that told of another server
+#: was wrong.
+REPLACED_RETRY_SECONDS = 10.0
+REPLACED_PROBE_SECONDS = 2.0
 #: Number of failures at which a silent server or a broken answer makes the server suspected; a
-#: server that this process or another member found unreachable is suspected at once.  One lookup
-#: call in six outlasts the time after which a retry elsewhere pays, so two in a row are common.
+#: server that this process or another member found unreachable or replaced is suspected at once.
+#: One lookup call in six outlasts the time after which a retry elsewhere pays, so two in a row are
+#: common.
 SOFT_FAILURES = 3
 #: Seconds between two probes of a suspected server.
 PROBE_SECONDS = 0.25
@@ -93,12 +99,13 @@
 class FailureKind(Enum):
     """How a call failed at a server.
 
-    UNREACHABLE: no connection.  SILENT: no data in time.  BROKEN: any other failure, such as a
-    truncated answer or an unexpected status.  REPORTED: another member found the server
-    unreachable.
+    UNREACHABLE: no connection.  REPLACED: another server has its address.  SILENT: no data in time.
+    BROKEN: any other failure, such as a truncated answer or an unexpected status.  REPORTED:
+    another member found the server unreachable or replaced.
     """
 
     UNREACHABLE = "unreachable"
+    REPLACED = "replaced"
     SILENT = "silent"
     BROKEN = "broken"
     REPORTED = "reported"
@@ -111,11 +118,12 @@
     :param failures: failures counted since the last reset, with those that other members reported;
         a successful probe lowers the number.
     :param suspected: the server gets no calls until a probe succeeds, or ``SUSPECT_RETRY_SECONDS``
-        have passed since ``suspected_at``.
-    :param found_here: whether the last failure that made or kept the server suspected was a failed
-        connection from this process, which this process reports to the other members.  Slow or
-        broken answers are not reported, since the call itself may be the reason, nor are the
-        reports of other members passed on.
+        (``REPLACED_RETRY_SECONDS`` for a replaced server) have passed since ``suspected_at``.
+    :param found_here: whether the last failure that made or kept the server suspected was that this
+        process couldn't connect or reached another server, which this process reports to the other
+        members.  Slow or broken answers are not reported, since the call itself may be the reason,
+        nor are the reports of other members passed on.
+    :param replaced: whether that failure was that another server has the address.
     :param suspected_at: time of the last failure that made or kept the server suspected.
     :param next_probe_at: when the next probe is due.
     """
@@ -124,6 +132,7 @@
     failures: int = 0
     suspected: bool = False
     found_here: bool = False
+    replaced: bool = False
     suspected_at: float = float("-inf")
     next_probe_at: float = float("inf")
 
@@ -211,8 +220,11 @@
         """Records a failed call; returns True if the server has just become suspected.
 
         A suspected server gets no calls for a while, longer with each further failure.  Another
-        member's report about a server that is already suspected is ignored.
+        member's report about a server that is already suspected is ignored, and so is the failure
+        of a call that outlasted the server's entry in the list.
         """
+        if kind is not FailureKind.REPORTED and name not in self._directory.by_name:
+            return False
         health = self._health_by_name.setdefault(name, Health())
         if kind is FailureKind.REPORTED and health.suspected:
             return False
@@ -226,9 +238,13 @@
         )
         health.avoid_until = now + (SUSPEND_SECONDS if kind is FailureKind.REPORTED else backoff)
         health.suspected = True
-        health.found_here = kind is FailureKind.UNREACHABLE
+        health.found_here = kind in (FailureKind.UNREACHABLE, FailureKind.REPLACED)
+        health.replaced = kind is FailureKind.REPLACED
         health.suspected_at = now
-        health.next_probe_at = min(health.next_probe_at, now + PROBE_SECONDS)
+        if newly_suspected:
+            health.next_probe_at = now + PROBE_SECONDS
+        elif health.replaced:
+            health.next_probe_at = max(health.next_probe_at, now + REPLACED_PROBE_SECONDS)
         return newly_suspected
 
     def due_probes(self, now: float) -> list[BackendEntry]:
@@ -237,7 +253,8 @@
         for name, health in self._health_by_name.items():
             server = self._directory.by_name.get(name)
             if health.suspected and now >= health.next_probe_at and server is not None:
-                health.next_probe_at = now + PROBE_SECONDS
+                pause = REPLACED_PROBE_SECONDS if health.replaced else PROBE_SECONDS
+                health.next_probe_at = now + pause
                 due.append(server)
         return due
 
@@ -253,7 +270,7 @@
 
     @property
     def suspects(self) -> list[BackendName]:
-        """The servers that this process itself found unreachable and still suspects."""
+        """The servers that this process itself found unreachable or replaced and still suspects."""
         return [
             name
             for name, health in self._health_by_name.items()
@@ -284,7 +301,8 @@
         health = self._health_by_name.get(name)
         if health is None:
             return True
-        trusted = not health.suspected or now >= health.suspected_at + SUSPECT_RETRY_SECONDS
+        retry_seconds = REPLACED_RETRY_SECONDS if health.replaced else SUSPECT_RETRY_SECONDS
+        trusted = not health.suspected or now >= health.suspected_at + retry_seconds
         return trusted and now >= health.avoid_until
 
     def choose(self, ticket: Ticket, now: float) -> BackendEntry | None:
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -18,6 +18,7 @@
 from verbenashore.events import NO_NUMBER, EventSplitter
 from verbenashore.exceptions import (
     BackendError,
+    BackendReplacedError,
     DeadlineError,
     NotFoundError,
     OutcomeUnknownError,
@@ -69,7 +70,8 @@
 #: Limit in bytes of a request's head until the configured one is known.  It is far above what
 #: operators allow, so that the caller is told to retry and not that its head is too large.
 START_HEADER_BYTES = 256 << 10
-#: Attempts of one call that may end without its being run; one more fails the call.
+#: Attempts of one call that may end without its being run; one more fails the call.  Those that
+#: reached another server than the chosen one don't count: each excludes a server that is gone.
 MAX_REFUSALS = 4
 #: Timeout in seconds of the first attempt to send a heartbeat to a replica, short because the reply
 #: needs no disk access.  :meth:`GroupClient.ask` adds the transfer time, and doubles the timeout
@@ -114,7 +116,8 @@
 
     :param deadline: when the call times out, on the process's clock.
     :param runs: the number of attempts that may have run it.
-    :param refusals: the number of attempts that did not: the server said so, or got nothing.
+    :param refusals: the number of attempts that did not: the server said so, or got nothing; not
+        counting those that reached another server than the chosen one.
     :param last_event: the number of the last event that the caller has.
     :param first_sent_at: when the first bytes were sent to the caller.
     :param last_sent_at: when the latest bytes were sent to the caller.
@@ -503,7 +506,7 @@
             relay.ticket.soft_deadline = relay.deadline
         relay.ticket.accepts_late = relay.ticket.accepts_late or relay.runs > 0
         self._prober.record_error(server.name, error)
-        if error.not_run:
+        if error.not_run and not isinstance(error, BackendReplacedError):
             relay.refusals += 1
         logs.info(
             Event.CALL_MOVED,
--- a/verbenashore/loadtable.py
+++ b/verbenashore/loadtable.py
@@ -44,11 +44,11 @@
     :param incarnation: differs for every start of the member.
     :param number: increases with every report of an incarnation.
     :param load_by_backend: the member's own calls.
-    :param suspects: servers that the member found unreachable.
+    :param suspects: servers that the member found unreachable or replaced.
     :param waiting_by_service: its online calls that wait for a slot.
     :param relayed_by_backend: the calls of further members that it passes on; those of the
         recipient are not among them.
-    :param relayed_suspects: the servers that they found unreachable.
+    :param relayed_suspects: the servers that they found unreachable or replaced.
     :param relayed_waiting_by_service: their online calls that wait for a slot.
     :param to_parent: true if the member takes the recipient for its parent in the tree.
     :param leaving: true if the recipient is to forget the member.
--- a/verbenashore/prober.py
+++ b/verbenashore/prober.py
@@ -8,7 +8,7 @@
 from verbenashore.backendcall import Dialect
 from verbenashore.directory import BackendEntry
 from verbenashore.dispatch import Dispatcher, FailureKind
-from verbenashore.exceptions import BackendBusyError, BackendError
+from verbenashore.exceptions import BackendBusyError, BackendError, BackendReplacedError
 from verbenashore.loadtable import Report
 from verbenashore.logs import Event
 from verbenashore.routing import RouteIndex
@@ -85,9 +85,15 @@
     async def _probe(self, server: BackendEntry) -> None:
         service = self._routes().service_by_name.get(server.service)
         path = service.health_path if service is not None else ""
-        if path and await backendcall.check_status(
-            self._dialect, server, path, self.record_leaving
-        ):
-            self._dispatcher.record_probe_success(server.name)
-            logs.info(Event.BACKEND_READMITTED, server=server.name)
-            self._on_change()
+        if not path:
+            return
+        try:
+            await backendcall.check_status(self._dialect, server, path, self.record_leaving)
+        except BackendError as error:
+            logs.info(Event.PROBE_FAILED, server=server.name, step=error.step, error=error.message)
+            if isinstance(error, BackendReplacedError):
+                self._record_failure(server.name, FailureKind.REPLACED)
+            return
+        self._dispatcher.record_probe_success(server.name)
+        logs.info(Event.BACKEND_READMITTED, server=server.name)
+        self._on_change()
