--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -65,6 +65,10 @@
     :param faults: by path prefix: ``break:N`` after N events, ``reset``, ``not-run``, ``500``,
         ``422``, or ``silent``.
     :param deadly_part: a part of prompts; a call with it crashes the engine as its answer begins.
+    :param listed_name: the name in the list, which lags behind the engine's own.
+    :param misdirected: how many calls it answered that were meant for another engine.
+    :param says_leaving: whether its answers say that it leaves, whatever the list says.
+    :param on_answer: called for each call that it answers, whether or not it runs it.
     """
 
     def __init__(self, name, service, address, zone, gap=0.01, events=12):
@@ -76,12 +80,16 @@
         self.faults = {}
         self.deadly_part = ""
         self.crashed = False
+        self.listed_name = None
+        self.misdirected = 0
+        self.says_leaving = False
+        self.on_answer = lambda: None
         self.stopping = asyncio.Event()
 
     def list_entry(self):
         """Returns the engine's entry in the platform's list."""
         return {
-            "id": self.name,
+            "id": self.listed_name or self.name,
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
@@ -94,23 +102,27 @@
     async def handle_request(self, request, respond):
         """Answers one call or health check."""
         expected = request.headers.get(wire.EXPECT_INSTANCE, self.name)
+        leaving = {"server-leaving": "1"} if self.says_leaving else {}
+        own = {"x-verbenashore-instance-id": self.name} | leaving
         if expected != self.name:
-            await respond.send_json(421, {}, {"x-verbenashore-instance-id": self.name})
+            self.misdirected += request.path != "/health"
+            await respond.send_json(421, {}, own)
             return
         if request.path == "/health":
-            await respond.send_json(200, {}, {"x-verbenashore-instance-id": self.name})
+            await respond.send_json(503 if self.says_leaving else 200, {}, own)
             return
         fault = next((f for p, f in self.faults.items() if request.path.startswith(p)), "")
         call = request.headers[wire.REQUEST_ID]
+        self.on_answer()
         if fault == "not-run":
-            await respond.send_json(503, {}, {wire.NOT_EXECUTED: "1"})
+            await respond.send_json(503, {}, {wire.NOT_EXECUTED: "1"} | leaving)
             return
         first_event = int(request.headers.get(wire.LAST_EVENT_ID, "0")) + 1
         run = {"call": call, "first": first_event, "outcome": "cut", "headers": request.headers}
         self.runs.append(run)
         if self.deadly_part and self.deadly_part in request.headers.get(wire.PROMPT_PREFIX, ""):
             await self._crash(respond)
-        headers = {wire.RESPONSE_STAMP: f"stamp-{self.name}", wire.REQUEST_ID: call}
+        headers = {wire.RESPONSE_STAMP: f"stamp-{self.name}", wire.REQUEST_ID: call} | leaving
         if fault == "reset":
             raise ConnectionResetError
         if fault == "silent":
--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -7,12 +7,11 @@
 
 import msgspec
 
-from verbenashore import httpclient, logs
+from verbenashore import httpclient, misc
 from verbenashore.directory import BackendEntry
 from verbenashore.dispatch import FailureKind
 from verbenashore.exceptions import BackendBusyError, BackendError, BackendReplacedError
 from verbenashore.httpclient import Exchange
-from verbenashore.logs import Event
 from verbenashore.settings import parse_address
 from verbenashore.types import Prompt
 
@@ -54,14 +53,22 @@
     :param headers: those that are forwarded to the caller.
     :param call: the id of the call that it answers; "" if it states none.
     :param not_run: the server states that it did not run the call.
-    :param replaced: another server than the expected one answered; it did not run the call.
+    :param misdirected: the server states that the call is not for it, and did not run it.
+    :param leaving: the server that answered states that it leaves.
+    :param answered_by: the name of the server that answered; "" if it states none.
     """
 
     status: int
     headers: list[tuple[bytes, bytes]]
     call: str
     not_run: bool
-    replaced: bool
+    misdirected: bool
+    leaving: bool = False
+    answered_by: str = ""
+
+    def is_from_other(self, server: BackendEntry) -> bool:
+        """Returns whether the server that answered states another name than a server's."""
+        return self.answered_by not in ("", server.name)
 
 
 #: Header names and values, in order.
@@ -84,6 +91,10 @@
     read_prompt: Callable[[Headers], Prompt] = lambda _headers: ()
 
 
+#: Is called with a server that states that it leaves.
+LeavingHandler = Callable[[BackendEntry], None]
+
+
 class OpenCall(msgspec.Struct):
     """A call whose response head was received."""
 
@@ -99,18 +110,64 @@
         return exchange.parts()
 
 
-async def check_status(dialect: Dialect, server: BackendEntry, path: str) -> bool:
-    """Runs a server's status check; false if it fails or the server can't be reached."""
+async def check_status(
+    dialect: Dialect, server: BackendEntry, path: str, on_leaving: LeavingHandler
+) -> None:
+    """Runs a server's status check.
+
+    :param on_leaving: called if the server states that it leaves.
+    :raises BackendReplacedError: another server has the address.
+    :raises BackendError: the check fails, or the server can't be reached.
+    """
+    timeout_error = BackendError("no response in time", step="read", peer=server.address)
+    asking = _ask_status(dialect, server, path, on_leaving)
+    await misc.with_timeout(PROBE_TIMEOUT_SECONDS, asking, timeout_error)
+
+
+async def _ask_status(
+    dialect: Dialect, server: BackendEntry, path: str, on_leaving: LeavingHandler
+) -> None:
     status_call = Call("", server.address, "GET", path, path, [], b"")
     headers = dialect.call_headers(status_call, server, None, None)
-    try:
-        response = await httpclient.request(
-            server.address, "GET", path, seconds=PROBE_TIMEOUT_SECONDS, headers=headers
+    async with httpclient.exchange(
+        server.address, "GET", path, b"", PROBE_TIMEOUT_SECONDS, headers
+    ) as exchange:
+        head = dialect.read_head(exchange.status, exchange.headers)
+        _check_server(head, server, on_leaving)
+        async for _ in exchange.parts():
+            pass
+    if head.is_from_other(server):
+        raise _replaced_error(head, server)
+    if head.status != 200:
+        raise BackendError(f"status {head.status}", step="head", peer=server.name, not_run=True)
+
+
+def _check_server(head: AnswerHead, server: BackendEntry, on_leaving: LeavingHandler) -> None:
+    """Checks that the expected server took a call for its own, and reports it if it leaves.
+
+    :raises BackendReplacedError: another server refused the call.
+    :raises BackendError: a server that doesn't name itself, or the expected one, refused it as not
+        meant for it.
+    """
+    if head.misdirected and head.is_from_other(server):
+        raise _replaced_error(head, server)
+    if head.misdirected:
+        # The expected server may refuse a call for another reason, such as a version that the
+        # caller expects.
+        raise BackendError(
+            f"status {head.status}: the call is not meant for the server",
+            step="head",
+            peer=server.name,
+            not_run=True,
         )
-    except BackendError as error:
-        logs.info(Event.PROBE_FAILED, server=server.name, step=error.step, error=error.message)
-        return False
-    return response.status == 200
+    if head.leaving and not head.is_from_other(server):
+        on_leaving(server)
+
+
+def _replaced_error(head: AnswerHead, server: BackendEntry) -> BackendReplacedError:
+    return BackendReplacedError(
+        f"{head.answered_by} has the server's address", step="head", peer=server.name, not_run=True
+    )
 
 
 async def has_crashed(server: BackendEntry, error: BackendError) -> bool:
@@ -134,6 +191,8 @@
 
 def failure_kind(error: BackendError) -> FailureKind:
     """Returns the kind of failure that an error stands for."""
+    if isinstance(error, BackendReplacedError):
+        return FailureKind.REPLACED
     if error.step == "connect":
         return FailureKind.UNREACHABLE
     return FailureKind.SILENT if error.step == "read" else FailureKind.BROKEN
@@ -148,12 +207,14 @@
     remaining_seconds: float | None,
     last_event: int | None,
     progress_timeout: float,
+    on_leaving: LeavingHandler,
     on_connected: Callable[[], None] = lambda: None,
 ) -> AsyncIterator[OpenCall]:
     """Sends a call and yields its answer; leaving the block early cancels the work at the server.
 
     :param remaining_seconds: remaining seconds for the whole call, sent to the server.
     :param progress_timeout: timeout in seconds for each further part of the answer.
+    :param on_leaving: called if the server states that it leaves, whether or not it ran the call.
     :param on_connected: called when the connection is established.
     :raises BackendBusyError: the server states that it did not run the call.
     :raises BackendReplacedError: another server has the address; it did not run the call.
@@ -175,10 +236,7 @@
             raise BackendError(
                 "the response belongs to another call", step="head", peer=server.name
             )
-        if head.replaced:
-            raise BackendReplacedError(
-                "another server has this address", step="head", peer=server.name, not_run=True
-            )
+        _check_server(head, server, on_leaving)
         if head.not_run:
             raise BackendBusyError(
                 f"status {head.status}: the server did not run the call",
--- a/verbenashore/prober.py
+++ b/verbenashore/prober.py
@@ -1,4 +1,4 @@
-"""Probes suspected backend servers, and records the suspects that other members report."""
+"""Probes suspected backend servers, and records what answers and other members say of servers."""
 
 import asyncio
 from collections.abc import Callable
@@ -8,7 +8,7 @@
 from verbenashore.backendcall import Dialect
 from verbenashore.directory import BackendEntry
 from verbenashore.dispatch import Dispatcher, FailureKind
-from verbenashore.exceptions import BackendBusyError, BackendError
+from verbenashore.exceptions import BackendBusyError, BackendError, BackendReplacedError
 from verbenashore.loadtable import Report
 from verbenashore.logs import Event
 from verbenashore.routing import RouteIndex
@@ -22,7 +22,7 @@
     """The probes of one process.
 
     :param routes: returns the route table in force, which holds each service's status check path.
-    :param on_change: called when a server becomes suspected or is readmitted.
+    :param on_change: called when a server becomes suspected, is readmitted or says that it leaves.
     """
 
     def __init__(
@@ -49,6 +49,12 @@
         else:
             self._record_failure(name, backendcall.failure_kind(error))
 
+    def record_leaving(self, server: BackendEntry) -> None:
+        """Records that a server stated in an answer that it leaves."""
+        if self._dispatcher.record_leaving(server):
+            logs.info(Event.BACKEND_LEAVING, server=server.name)
+            self._on_change()
+
     def record_suspects(self, report: Report) -> None:
         """Records the suspects that a member reports or passes on, unless it has before."""
         previous = self._suspects_by_member.get(report.member, frozenset())
@@ -79,7 +85,15 @@
     async def _probe(self, server: BackendEntry) -> None:
         service = self._routes().service_by_name.get(server.service)
         path = service.health_path if service is not None else ""
-        if path and await backendcall.check_status(self._dialect, server, path):
-            self._dispatcher.record_probe_success(server.name)
-            logs.info(Event.BACKEND_READMITTED, server=server.name)
-            self._on_change()
+        if not path:
+            return
+        try:
+            await backendcall.check_status(self._dialect, server, path, self.record_leaving)
+        except BackendError as error:
+            logs.info(Event.PROBE_FAILED, server=server.name, step=error.step, error=error.message)
+            if isinstance(error, BackendReplacedError):
+                self._record_failure(server.name, FailureKind.REPLACED)
+            return
+        self._dispatcher.record_probe_success(server.name)
+        logs.info(Event.BACKEND_READMITTED, server=server.name)
+        self._on_change()
