Reserve the loopback network of a test deployment

Cause: each process counted its networks from 1, and the metrics port is fixed. Change: a network is reserved by a bound socket until the process ends.

--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -25,6 +25,8 @@
 HOST = "notes.example"
 STREAM, ONCE_STREAM, LOOKUP, JOBS = "/s/", "/o/", "/l/", "/j/"
 WAIT_SECONDS = 20.0
+METRICS_PORT = 9464
+_reservations = []
 
 
 def wait_until(check, seconds=WAIT_SECONDS):
@@ -52,6 +54,22 @@
         return min(probe.getsockname()[1], 65000)
 
 
+def reserve_net():
+    """Returns the number of a loopback network that no other deployment on this host uses.
+
+    The metrics port is fixed, so each deployment needs IP addresses of its own, also while another
+    checkout runs its tests.  The network is reserved until this process ends.
+    """
+    for number in range(1, 255):
+        reservation = socket.socket()
+        with contextlib.suppress(OSError):
+            reservation.bind((f"127.4.{number}.254", METRICS_PORT))
+            _reservations.append(reservation)
+            return number
+        reservation.close()
+    raise AssertionError("no loopback network is free")
+
+
 def own_address():
     """Returns an address whose IP nothing else uses, not even for outgoing connections."""
     number = next(_address_numbers)
@@ -172,7 +190,6 @@
     return "\n".join(f"{call} says {number}" for number in range(1, events + 1))
 
 
-_net_numbers = itertools.count(1)
 _address_numbers = itertools.count()
 
 
@@ -184,8 +201,7 @@
 
     def __init__(self, folder, ledgers=3):
         self.folder = Path(folder)
-        # The metrics port is fixed, so each deployment needs IP addresses of its own.
-        net = self.net = next(_net_numbers)
+        net = self.net = reserve_net()
         self.port = free_port()
         self.engines = [
             Engine(f"i-{n}", "lm", f"127.3.{net}.{n + 1}:{self.port}", "dc") for n in range(3)
