--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,5 +1,6 @@
 """End-to-end tests of the relay path on the platform, with real processes on loopback."""
 
+import contextlib
 import http.client
 import json
 import re
@@ -372,6 +373,26 @@
     wait_until(lambda: platform.is_ready("entry-1"))
 
 
+def test_a_stopping_ledger_process_answers_the_operator_calls_that_it_has_read(platform):
+    first, *others = [name for name in platform.ip_by_name if name.startswith("ledger")]
+    address = platform.address(first, 22)
+    for name in others:
+        platform.signal(name, signal.SIGSTOP)
+    try:
+        with contextlib.closing(http.client.HTTPConnection(address, timeout=5.0)) as operator:
+            wait_until(lambda: platform.operate("GET", "/verbenashore/config")[0] == 503)
+            operator.request("GET", "/verbenashore/config")
+            threading.Event().wait(0.2)
+            platform.signal(first, signal.SIGTERM)
+            assert operator.getresponse().status == 503
+        assert platform.process_by_name[first].wait(8.0) == 0
+    finally:
+        for name in others:
+            platform.signal(name, signal.SIGCONT)
+        platform.start(first)
+    wait_until(lambda: platform.operate("GET", "/verbenashore/config")[0] == 200)
+
+
 def leader_of_highest_term(platform):
     """Returns the ledger process that was elected in the highest term."""
     elected = [
