--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -393,6 +393,17 @@
     wait_until(lambda: platform.operate("GET", "/verbenashore/config")[0] == 200)
 
 
+def test_a_starting_process_survives_the_signal_that_its_settings_have_changed(platform):
+    platform.kill("entry-1")
+    platform.start("entry-1")
+    host, port = platform.address("entry-1", 20).split(":")
+    wait_until(lambda: socket.create_connection((host, int(port))).close() is None)
+    platform.signal("entry-1", signal.SIGHUP)
+    starting = platform.process_by_name["entry-1"]
+    wait_until(lambda: starting.poll() is not None or platform.is_ready("entry-1"))
+    assert starting.poll() is None
+
+
 def leader_of_highest_term(platform):
     """Returns the ledger process that was elected in the highest term."""
     elected = [
