Wait for a free server with a stream that has begun

What callers saw: a stream broke off in its middle although its server had only been silent, or had ended, and the other servers were full for a moment. Cause: a stream that goes on at another server was treated like a call that nobody has begun to answer: servers that were full once were never asked again, the fifth refusal ended it, and so did four fifths of its time in the queue. The caller of such a stream can't be told to come again, so its connection was closed. Change: servers that refused a begun stream may be asked again (after the usual pause for a full server), and it ends at its deadline only.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,6 +8,7 @@
 import socket
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -118,6 +119,20 @@
     assert [run["first"] for run in resumed] == [5 if fault == "break:5" else 1]
 
 
+def test_a_stream_that_has_begun_is_not_cut_while_the_other_engines_are_full(platform):
+    first, *others = model_engines(platform)
+    first.faults[STREAM] = "break:5"
+    for engine in others:
+        engine.faults[STREAM] = "not-run"
+    with ThreadPoolExecutor() as callers:
+        answer = callers.submit(platform.call, f"{STREAM}a", "waits")
+        wait_until(lambda: [run["outcome"] for run in platform.runs("waits")] == ["cut"])
+        threading.Event().wait(0.3)
+        for engine in others:
+            engine.faults.clear()
+        assert answer.result()[2] == whole("waits")
+
+
 def test_a_broken_run_once_stream_is_visibly_truncated_and_not_retried(platform):
     for engine in model_engines(platform):
         engine.faults[ONCE_STREAM] = "break:5"
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -69,7 +69,8 @@
 #: Limit in bytes of a request's head until the configured one is known.  It is far above what
 #: operators allow, so that the caller is told to retry and not that its head is too large.
 START_HEADER_BYTES = 256 << 10
-#: Attempts of one call that may end without its being run; one more fails the call.
+#: Attempts of one call that may end without its being run; one more fails the call, unless its
+#: response has begun.
 MAX_REFUSALS = 4
 #: Timeout in seconds of the first attempt to send a heartbeat to a replica, short because the reply
 #: needs no disk access.  :meth:`GroupClient.ask` adds the transfer time, and doubles the timeout
@@ -115,6 +116,7 @@
     :param deadline: when the call times out, on the process's clock.
     :param runs: the number of attempts that may have run it.
     :param refusals: the number of attempts that did not: the server said so, or got nothing.
+    :param refused_by: the servers of those attempts.
     :param last_event: the number of the last event that the caller has.
     :param first_sent_at: when the first bytes were sent to the caller.
     :param last_sent_at: when the latest bytes were sent to the caller.
@@ -132,6 +134,7 @@
     respond: Responder
     runs: int = 0
     refusals: int = 0
+    refused_by: set[BackendName] = msgspec.field(default_factory=set)
     last_event: int | None = None
     first_sent_at: float | None = None
     last_sent_at: float = 0.0
@@ -497,14 +500,17 @@
     def _record_failure(self, relay: Relay, server: BackendEntry, error: BackendError) -> None:
         now = self._clock()
         relay.ticket.excluded.add(server.name)
+        if error.not_run:
+            relay.refusals += 1
+            relay.refused_by.add(server.name)
         if relay.respond.started:
             # The caller is reading a response, and any time in the queue is a gap in it.
             relay.ticket.rank = RESUMED_RANK
-            relay.ticket.soft_deadline = relay.deadline
+            relay.ticket.soft_deadline = relay.ticket.hard_deadline = relay.deadline
+            # Servers that were full may have a free slot before the caller's time is over.
+            relay.ticket.excluded -= relay.refused_by
         relay.ticket.accepts_late = relay.ticket.accepts_late or relay.runs > 0
         self._prober.record_error(server.name, error)
-        if error.not_run:
-            relay.refusals += 1
         logs.info(
             Event.CALL_MOVED,
             call=relay.call.id,
@@ -516,7 +522,7 @@
             last_event=relay.last_event,
             age=round(now - relay.arrived_at, 4),
         )
-        if relay.refusals > MAX_REFUSALS:
+        if relay.refusals > MAX_REFUSALS and not relay.respond.started:
             if relay.runs:
                 raise OutcomeUnknownError("no backend server accepted the call", step="place")
             raise OverloadedError(
