--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,5 +1,6 @@
 """End-to-end tests of the relay path on the platform, with real processes on loopback."""
 
+import contextlib
 import http.client
 import json
 import re
@@ -7,6 +8,7 @@
 import socket
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -118,6 +120,20 @@
     assert [run["first"] for run in resumed] == [5 if fault == "break:5" else 1]
 
 
+def test_a_stream_that_has_begun_is_not_cut_while_the_other_engines_are_full(platform):
+    first, *others = model_engines(platform)
+    first.faults[STREAM] = "break:5"
+    for engine in others:
+        engine.faults[STREAM] = "not-run"
+    with ThreadPoolExecutor() as callers:
+        answer = callers.submit(platform.call, f"{STREAM}a", "waits")
+        wait_until(lambda: [run["outcome"] for run in platform.runs("waits")] == ["cut"])
+        threading.Event().wait(0.3)
+        for engine in others:
+            engine.faults.clear()
+        assert answer.result()[2] == whole("waits")
+
+
 def test_a_broken_run_once_stream_is_visibly_truncated_and_not_retried(platform):
     for engine in model_engines(platform):
         engine.faults[ONCE_STREAM] = "break:5"
@@ -419,6 +435,37 @@
     wait_until(lambda: platform.is_ready("entry-1"))
 
 
+def test_a_stopping_ledger_process_answers_the_operator_calls_that_it_has_read(platform):
+    first, *others = [name for name in platform.ip_by_name if name.startswith("ledger")]
+    address = platform.address(first, 22)
+    for name in others:
+        platform.signal(name, signal.SIGSTOP)
+    try:
+        with contextlib.closing(http.client.HTTPConnection(address, timeout=5.0)) as operator:
+            wait_until(lambda: platform.operate("GET", "/verbenashore/config")[0] == 503)
+            operator.request("GET", "/verbenashore/config")
+            threading.Event().wait(0.2)
+            platform.signal(first, signal.SIGTERM)
+            assert operator.getresponse().status == 503
+        assert platform.process_by_name[first].wait(8.0) == 0
+    finally:
+        for name in others:
+            platform.signal(name, signal.SIGCONT)
+        platform.start(first)
+    wait_until(lambda: platform.operate("GET", "/verbenashore/config")[0] == 200)
+
+
+def test_a_starting_process_survives_the_signal_that_its_settings_have_changed(platform):
+    platform.kill("entry-1")
+    platform.start("entry-1")
+    host, port = platform.address("entry-1", 20).split(":")
+    wait_until(lambda: socket.create_connection((host, int(port))).close() is None)
+    platform.signal("entry-1", signal.SIGHUP)
+    starting = platform.process_by_name["entry-1"]
+    wait_until(lambda: starting.poll() is not None or platform.is_ready("entry-1"))
+    assert starting.poll() is None
+
+
 def leader_of_highest_term(platform):
     """Returns the ledger process that was elected in the highest term."""
     elected = [
