Keep the text of an event after a line separator

Callers read results of items whose text lacked what followed a U+2028, U+0085, form feed or another of the characters at which str.splitlines() ends a line: the rest was taken for a field without a name. Such a rest of the form "id: N" also gave the event another number. Events end their lines only at CR LF, LF and CR, so the parser splits only there.

Before the fix all eight cases of the test failed, such as

AssertionError: assert (3, 'a') == (3, 'a\u2028b')

--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -1,5 +1,6 @@
 """Parsing of numbered events out of a byte stream."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -33,3 +34,9 @@
     events += splitter.feed(rest)
     assert b"".join(event.raw for event in events) == whole
     assert [event.number for event in events] == list(range(12))
+
+
+@pytest.mark.parametrize("character", "\x0b\x0c\x1c\x1d\x1e\x85\u2028\u2029")
+def test_no_text_is_lost_after_a_character_that_ends_lines_only_outside_of_events(character):
+    event = parse_event(f"id: 3\ndata: a{character}b\n\n".encode())
+    assert (event.number, event.data) == (3, f"a{character}b")
--- a/verbenashore/events.py
+++ b/verbenashore/events.py
@@ -1,7 +1,11 @@
 """Parses numbered server-sent events out of a byte stream."""
 
+import re
+
 import msgspec
 
+#: A line ends with CR LF, LF or CR; no other character ends one.
+LINE_END = re.compile(r"\r\n|\n|\r")
 EVENT_SEPARATORS = (b"\n\n", b"\r\n\r\n")
 NO_NUMBER = -1
 
@@ -52,7 +56,7 @@
     """Parses one complete event."""
     number = NO_NUMBER
     data = []
-    for line in raw.decode("utf-8", "replace").splitlines():
+    for line in LINE_END.split(raw.decode("utf-8", "replace")):
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
         if name == "id" and value.isdigit():
