Read an event's id as a number only if it is decimal

An id such as "²" is a digit for str.isdigit() but not for int(), so it raised a ValueError: the caller's stream was cut, though an event without a number is relayed. Only ASCII digits count now.

Before the fix the test failed with

ValueError: invalid literal for int() with base 10: '²'

--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -40,3 +40,7 @@
 def test_no_text_is_lost_after_a_character_that_ends_lines_only_outside_of_events(character):
     event = parse_event(f"id: 3\ndata: a{character}b\n\n".encode())
     assert (event.number, event.data) == (3, f"a{character}b")
+
+
+def test_an_id_that_is_not_a_decimal_number_is_no_number():
+    assert parse_event("id: ²\ndata: a\n\n".encode()).number == NO_NUMBER
--- a/verbenashore/events.py
+++ b/verbenashore/events.py
@@ -59,7 +59,7 @@
     for line in LINE_END.split(raw.decode("utf-8", "replace")):
         name, _, value = line.partition(":")
         value = value.removeprefix(" ")
-        if name == "id" and value.isdigit():
+        if name == "id" and value.isascii() and value.isdigit():
             number = int(value)
         elif name == "data":
             data.append(value)
