End an event at a blank line of any line ends

An event ended only at LF LF or CR LF CR LF. With bare CRs, or with a blank line of another kind than the line before it, no event ever ended: a resumable stream was held back whole and then failed as one that ends inside an event, and an item was never done. Both line ends may be any of CR LF, LF and CR. A CR at the end of what has arrived counts as one; an LF after it is then an empty line before the next event.

Before the fix the tests failed for LF CR LF, CR CR and CR LF CR, and for a CR LF in two parts:

AssertionError: assert [] == ['a']

--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -44,3 +44,17 @@
 
 def test_an_id_that_is_not_a_decimal_number_is_no_number():
     assert parse_event("id: ²\ndata: a\n\n".encode()).number == NO_NUMBER
+
+
+@pytest.mark.parametrize("blank", [b"\n\n", b"\r\n\r\n", b"\n\r\n", b"\r\n\n", b"\r\r", b"\r\n\r"])
+def test_an_event_ends_at_a_blank_line_whatever_its_line_ends(blank):
+    splitter = EventSplitter()
+    assert [event.data for event in splitter.feed(b"id: 1\r\ndata: a" + blank)] == ["a"]
+    assert splitter.partial == b""
+
+
+def test_a_line_end_that_arrives_in_two_parts_ends_one_line():
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\r") == []
+    assert [event.number for event in splitter.feed(b"\ndata: a\r\n\r")] == [1]
+    assert [event.number for event in splitter.feed(b"\nid: 2\r\ndata: b\r\n\r\n")] == [2]
--- a/verbenashore/events.py
+++ b/verbenashore/events.py
@@ -6,7 +6,8 @@
 
 #: A line ends with CR LF, LF or CR; no other character ends one.
 LINE_END = re.compile(r"\r\n|\n|\r")
-EVENT_SEPARATORS = (b"\n\n", b"\r\n\r\n")
+#: The end of an event: that of its last line and a blank line.
+EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
 NO_NUMBER = -1
 
 
@@ -38,19 +39,11 @@
         """Adds bytes and returns the events that are complete now."""
         self._buffer += data
         events = []
-        while (end := self._event_end()) > 0:
-            events.append(parse_event(self._buffer[:end]))
-            self._buffer = self._buffer[end:]
+        while (match := EVENT_END.search(self._buffer)) is not None:
+            events.append(parse_event(self._buffer[: match.end()]))
+            self._buffer = self._buffer[match.end() :]
         return events
 
-    def _event_end(self) -> int:
-        ends = [
-            position + len(separator)
-            for separator in EVENT_SEPARATORS
-            if (position := self._buffer.find(separator)) >= 0
-        ]
-        return min(ends, default=-1)
-
 
 def parse_event(raw: bytes) -> ServerEvent:
     """Parses one complete event."""
