Break the caller's connection when a stream ends inside an event

On routes whose streams can't be resumed, callers got a cut event and then the orderly end of their stream: the end of the answer was checked only on resumable routes. An answer without a length ends with its connection, so nothing else shows that it was cut. The bytes are relayed as they come, as before, and a splitter beside them tells at the end whether an event is open. An event is open if it has a line other than a comment and no blank line after it; its last line may be ended. Comments after the last event are relayed on resumable routes, too, where they made the stream fail. An answer of another content type has no events to end.

--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -19,9 +19,12 @@
     return AnswerHead(status, headers, "", False, False)
 
 
-def relay_settings(fetch=None):
+PLAIN_DIALECT = Dialect(call_headers, read_head)
+
+
+def relay_settings(fetch=None, dialect=PLAIN_DIALECT):
     """Returns what a process needs to relay calls."""
-    return RelaySettings(Dialect(call_headers, read_head), fetch, "127.0.0.1:1")
+    return RelaySettings(dialect, fetch, "127.0.0.1:1")
 
 
 @contextlib.asynccontextmanager
@@ -35,11 +38,12 @@
 
 
 @contextlib.asynccontextmanager
-async def gateway(seeds=("127.0.0.1:1",), fetch=None):
+async def gateway(seeds=("127.0.0.1:1",), fetch=None, dialect=PLAIN_DIALECT):
     """Yields a gateway whose tasks are not started.
 
     :param seeds: the addresses of its ledger processes.
     :param fetch: reads the list of backend servers.
+    :param dialect: how it encodes calls and decodes their answers.
     """
     async with process() as running:
-        yield Gateway(running, relay_settings(fetch), list(seeds))
+        yield Gateway(running, relay_settings(fetch, dialect), list(seeds))
--- a/tests/test_relayed.py
+++ b/tests/test_relayed.py
@@ -1,16 +1,20 @@
 """Relayed calls to servers that stall or are behind a slow line: what is done and logged."""
 
 import asyncio
+import re
+import socket
+import struct
 
 import pytest
 
 from standins.relay import Line
 from tests.gateways import gateway
+from tests.platforms import wire
 from tests.slowlines import BYTES_PER_SECOND, start_slow_relay
 from verbenashore import backendcall, logs
 from verbenashore.backendcall import Call
 from verbenashore.directory import BackendEntry
-from verbenashore.exceptions import DeadlineError
+from verbenashore.exceptions import DeadlineError, OutcomeUnknownError, VerbenaError
 from verbenashore.logs import Event
 from verbenashore.routing import Route, RouteKind, Share
 
@@ -172,3 +176,146 @@
 @pytest.mark.parametrize("size", [1_000, 400_000])
 def test_a_call_with_a_long_body_is_not_moved_to_another_server_while_it_is_sent(size):
     assert asyncio.run(count_servers_of_upload(size)) == 1
+
+
+class RecordingResponder:
+    """Keeps what the caller of one call gets."""
+
+    def __init__(self):
+        self.started = self.ended = False
+        self.status = None
+        self.body = b""
+
+    async def start_stream_with_headers(self, status, _headers):
+        """Keeps the status of a stream."""
+        self.started, self.status = True, status
+
+    async def send_with_headers(self, status, _headers, body):
+        """Keeps a whole answer."""
+        self.started = self.ended = True
+        self.status, self.body = status, body
+
+    async def send_chunk(self, data):
+        """Keeps a part of a stream."""
+        self.body += data
+
+    async def end_stream(self):
+        """Notes that the stream is complete."""
+        self.ended = True
+
+
+def reset(writer):
+    """Makes the kernel end a connection with a reset."""
+    no_linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+    writer.transport.abort()
+
+
+async def relay_call(route, answers, end):
+    """Relays a call to servers that send the given answers, one each, and close the connection.
+
+    Returns the responder, the last event that each server was told, and the error of the call.
+
+    :param end: closes a connection, given its writer.
+    """
+    told = []
+
+    async def serve(reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        number = re.search(rb"(?i)last-event-id: *(\d+)", head)
+        told.append(int(number[1]) if number else None)
+        writer.write(answers[len(told) - 1])
+        await writer.drain()
+        end(writer)
+
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    responder = RecordingResponder()
+    async with listener, gateway(dialect=wire.DIALECT) as entry:
+        servers = [
+            BackendEntry(f"b{n}", "s", f"{host}:{port}", "d", 4, False) for n in range(len(answers))
+        ]
+        entry._list_updater.install(servers, entry._clock())
+        call = Call("c", "h", "GET", "/l/x", "/l/x", [], b"", 5.0)
+        try:
+            await entry.relay(call, route, responder)
+        except (VerbenaError, ConnectionResetError) as error:
+            return responder, told, error
+    return responder, told, None
+
+
+def relayed(kind, *answers, resumable=False, end=asyncio.StreamWriter.close):
+    """Relays a call that may be sent to as many servers as there are answers."""
+    route = Route(
+        "r",
+        "h",
+        "/l/",
+        kind,
+        5.0,
+        5.0,
+        (Share("s", 1),),
+        max_attempts=len(answers),
+        resumable=resumable,
+    )
+    return asyncio.run(relay_call(route, answers, end))
+
+
+def head(status=200, content_type="text/event-stream", *fields):
+    """Returns the head of an answer that ends with its connection."""
+    lines = [f"HTTP/1.1 {status} X", "x-verbenashore-request-id: c", *fields]
+    lines += [f"content-type: {content_type}"] if content_type else []
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+CHUNKED = "transfer-encoding: chunked"
+
+
+def chunks(*parts, whole=True):
+    """Returns a chunked answer with the given parts; without its end if it isn't whole."""
+    body = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
+    return head(200, "text/event-stream", CHUNKED) + body + (b"0\r\n\r\n" if whole else b"")
+
+
+def event(number):
+    """Returns one event."""
+    return b"id: %d\ndata: x%d\n\n" % (number, number)
+
+
+@pytest.mark.parametrize("resumable", [False, True], ids=["once", "resumable"])
+@pytest.mark.parametrize(
+    "rest", [b"id: 2\ndata: x", b"id: 2\ndata: x2\n", b"id: 2\r\ndata: x2\r\n", b"i"]
+)
+@pytest.mark.parametrize("framed", [False, True], ids=["unframed", "chunked"])
+def test_a_stream_that_ends_inside_an_event_is_not_complete_for_its_caller(resumable, rest, framed):
+    sent = event(1) + rest
+    answer = chunks(sent) if framed else head() + sent
+    responder, _, error = relayed(RouteKind.STREAM, answer, resumable=resumable)
+    assert isinstance(error, ConnectionResetError) and not responder.ended
+    assert responder.body == (event(1) if resumable else sent)
+
+
+@pytest.mark.parametrize("resumable", [False, True], ids=["once", "resumable"])
+@pytest.mark.parametrize("rest", [b"", b"\n", b": the end", b": one\n: two\r\n"])
+def test_an_unframed_stream_that_ends_after_an_event_is_complete(resumable, rest):
+    answer = head() + event(1) + rest
+    responder, _, error = relayed(RouteKind.STREAM, answer, resumable=resumable)
+    assert error is None and responder.ended
+    assert responder.body == event(1) + rest
+
+
+@pytest.mark.parametrize("content_type", ["application/json", "text/plain"])
+def test_an_answer_that_is_no_event_stream_is_complete_without_a_blank_line(content_type):
+    responder, _, error = relayed(RouteKind.STREAM, head(200, content_type) + b'{"a": 1}')
+    assert error is None and responder.ended and responder.body == b'{"a": 1}'
+
+
+@pytest.mark.parametrize("kind", [RouteKind.STREAM, RouteKind.ONCE])
+@pytest.mark.parametrize("sent", [b"", b"id: 1\ndata: x1\n\n"], ids=["head", "event"])
+def test_an_unframed_answer_that_is_reset_is_not_complete(kind, sent):
+    responder, _, error = relayed(kind, head() + sent, end=reset)
+    assert isinstance(error, (ConnectionResetError, OutcomeUnknownError)) and not responder.ended
+
+
+def test_an_unframed_answer_that_is_not_a_stream_ends_with_its_connection():
+    responder, _, error = relayed(RouteKind.ONCE, head(200, "text/plain") + b"whole")
+    assert error is None and responder.ended and responder.body == b"whole"
--- a/verbenashore/events.py
+++ b/verbenashore/events.py
@@ -9,6 +9,12 @@
 #: The end of an event: that of its last line and a blank line.
 EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
 NO_NUMBER = -1
+EVENT_STREAM = "text/event-stream"
+
+
+def is_event_stream(content_type: str) -> bool:
+    """Returns whether an answer consists of events; one without a content type may."""
+    return content_type.partition(";")[0].strip().lower() in {"", EVENT_STREAM}
 
 
 class ServerEvent(msgspec.Struct, frozen=True):
@@ -35,6 +41,11 @@
         """The bytes after the last complete event."""
         return self._buffer
 
+    @property
+    def is_inside_event(self) -> bool:
+        """True if those bytes begin an event; comment lines begin none."""
+        return any(line and not line.startswith(b":") for line in self._buffer.splitlines())
+
     def feed(self, data: bytes) -> list[ServerEvent]:
         """Adds bytes and returns the events that are complete now."""
         self._buffer += data
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -15,7 +15,7 @@
 from verbenashore.client import GroupClient
 from verbenashore.directory import BackendEntry, Directory
 from verbenashore.dispatch import Dispatcher, Ticket, Verdict
-from verbenashore.events import NO_NUMBER, EventSplitter
+from verbenashore.events import NO_NUMBER, EventSplitter, is_event_stream
 from verbenashore.exceptions import (
     BackendError,
     DeadlineError,
@@ -633,11 +633,16 @@
         pause = relay.route.pause or DEFAULT_PAUSE_SECONDS
         splitter = EventSplitter()
         resumable = relay.route.resumable
+        has_events = is_event_stream(opened.exchange.content_type)
         async for part in opened.parts():
             relay.received_at = self._clock()
             if not relay.is_last_attempt:
                 opened.exchange.set_read_timeout(pause * STALL_SHARE)
-            data = self._complete_events(relay, splitter, part) if resumable else part
+            data = part
+            if resumable:
+                data = self._complete_events(relay, splitter, part)
+            elif has_events:
+                splitter.feed(part)
             if not data:
                 continue
             if not relay.respond.started:
@@ -646,10 +651,12 @@
                 )
             relay.record_bytes_sent(self._clock())
             await relay.respond.send_chunk(data)
-        if resumable and splitter.partial.strip():
+        if splitter.is_inside_event:
             raise BackendError("the stream ended inside an event", step="events", peer="")
         if not relay.respond.started:
             await relay.respond.start_stream_with_headers(opened.head.status, opened.head.headers)
+        if resumable and splitter.partial:
+            await relay.respond.send_chunk(splitter.partial)
         await relay.respond.end_stream()
 
     def _complete_events(self, relay: Relay, splitter: EventSplitter, part: bytes) -> bytes:
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -499,7 +499,7 @@
                     )
                 progress.texts.append(event.data)
                 progress.last_event = event.number
-        if splitter.partial.strip():
+        if splitter.is_inside_event:
             raise BackendError(
                 "the response ends within an event", step="events", peer=run.server.name
             )
