Count an event as relayed only once it is sent

When a server sent a good event and one out of sequence in the same bytes, the caller got neither, but the good one counted as relayed. The stream then resumed after it at another server: its caller lacked an event in the middle of a stream that was complete otherwise. The number of the last event is now taken over with the events that are sent. Event 2 came with event 4, and the next server was asked for what follows event 2; the test failed with

AssertionError: assert (ConnectionResetError('event 2 after event 2') is None)

since its server begins again with event 2, the one that the caller lacked. That a resumed stream which begins at another event is never joined held before and has a test now.

--- a/tests/test_relayed.py
+++ b/tests/test_relayed.py
@@ -319,3 +319,21 @@
 def test_an_unframed_answer_that_is_not_a_stream_ends_with_its_connection():
     responder, _, error = relayed(RouteKind.ONCE, head(200, "text/plain") + b"whole")
     assert error is None and responder.ended and responder.body == b"whole"
+
+
+def test_a_stream_with_a_gap_resumes_after_the_last_event_that_its_caller_has():
+    first = chunks(event(1), event(2) + event(4))
+    responder, told, error = relayed(
+        RouteKind.STREAM, first, chunks(event(2), event(3)), resumable=True
+    )
+    assert error is None and told == [None, 1]
+    assert responder.body == event(1) + event(2) + event(3)
+
+
+@pytest.mark.parametrize("number", [0, 1, 4], ids=["from zero", "again", "skip"])
+def test_a_resumed_stream_that_goes_on_elsewhere_is_not_joined(number):
+    broken = chunks(event(1), event(2), whole=False)
+    answers = (broken, chunks(event(number), event(number + 1)), chunks(event(3)))
+    responder, told, error = relayed(RouteKind.STREAM, *answers, resumable=True)
+    assert error is None and told == [None, 2, 2]
+    assert responder.body == event(1) + event(2) + event(3)
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -661,18 +661,18 @@
 
     def _complete_events(self, relay: Relay, splitter: EventSplitter, part: bytes) -> bytes:
         """Returns the events that these bytes complete; their numbers must be consecutive."""
-        events = []
-        for event in splitter.feed(part):
+        events = splitter.feed(part)
+        last = relay.last_event
+        for event in events:
             if event.number != NO_NUMBER:
-                if relay.last_event is not None and event.number != relay.last_event + 1:
+                if last is not None and event.number != last + 1:
                     raise BackendError(
-                        f"event {event.number} after event {relay.last_event}",
-                        step="events",
-                        peer="",
+                        f"event {event.number} after event {last}", step="events", peer=""
                     )
-                relay.last_event = event.number
-            events.append(event.raw)
-        return b"".join(events)
+                last = event.number
+        # If there is a gap, none of these events is sent, so none of them counts.
+        relay.last_event = last
+        return b"".join(event.raw for event in events)
 
     async def _refresh_stale_list(self) -> None:
         """Reads the backend list at its source while no list is known or the known one is stale."""
