Test that an error instead of a resumed stream isn't joined to it

Any other one is read whole, and once the stream has begun it counts as a failed attempt, so its body is never sent; after the last attempt the caller's connection is broken.

--- a/tests/test_relayed.py
+++ b/tests/test_relayed.py
@@ -337,3 +337,30 @@
     responder, told, error = relayed(RouteKind.STREAM, *answers, resumable=True)
     assert error is None and told == [None, 2, 2]
     assert responder.body == event(1) + event(2) + event(3)
+
+
+def whole_answer(status, content_type, body):
+    """Returns an answer with a length."""
+    return head(status, content_type, f"content-length: {len(body)}") + body
+
+
+ERROR_TEXT = b'{"error": "overloaded"}\n\n'
+
+
+@pytest.mark.parametrize("body", [b"", ERROR_TEXT, event(3)], ids=["empty", "text", "event"])
+@pytest.mark.parametrize("status", [201, 204, 206, 301, 400, 404, 408, 421, 422, 429, 500, 503])
+def test_an_error_instead_of_a_resumed_stream_is_not_joined_to_it(status, body):
+    broken = chunks(event(1), whole=False)
+    answers = (broken, whole_answer(status, "text/event-stream", body), chunks(event(2)))
+    responder, told, error = relayed(RouteKind.STREAM, *answers, resumable=True)
+    assert error is None and told == [None, 1, 1]
+    assert (responder.status, responder.body) == (200, event(1) + event(2))
+
+
+@pytest.mark.parametrize("status", [400, 429, 500])
+def test_a_stream_whose_last_server_answers_with_an_error_is_not_complete(status):
+    broken = chunks(event(1), whole=False)
+    answers = (broken, whole_answer(status, "application/json", ERROR_TEXT))
+    responder, _, error = relayed(RouteKind.STREAM, *answers, resumable=True)
+    assert isinstance(error, ConnectionResetError) and not responder.ended
+    assert responder.body == event(1)
