Don't join events without a number to a resumed stream

When a stream had broken off and the next server answered 200 with an error text, or with an error event or the head of another answer after some events, the caller found that text in the middle of its stream. An event without a number was relayed anywhere in a stream; nothing shows whether it belongs at that place. In a part that another server resumes, an event must now have the next number; comments, the retry time and empty lines are relayed as before. Otherwise the attempt has failed and the stream goes on elsewhere.

--- a/tests/test_relayed.py
+++ b/tests/test_relayed.py
@@ -364,3 +364,28 @@
     responder, _, error = relayed(RouteKind.STREAM, *answers, resumable=True)
     assert isinstance(error, ConnectionResetError) and not responder.ended
     assert responder.body == event(1)
+
+
+OTHER_TEXTS = {
+    "json": ERROR_TEXT,
+    "data": b"data: overloaded\n\n",
+    "error event": b"event: error\ndata: overloaded\n\n",
+    "head": b"HTTP/1.1 500 X\r\ncontent-type: text/plain\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("text", OTHER_TEXTS.values(), ids=OTHER_TEXTS.keys())
+@pytest.mark.parametrize("begins", [b"", event(2)], ids=["at once", "after an event"])
+def test_text_without_a_number_is_not_joined_to_a_resumed_stream(text, begins):
+    broken = chunks(event(1), whole=False)
+    answers = (broken, head() + begins + text, chunks(event(2), event(3)))
+    responder, told, error = relayed(RouteKind.STREAM, *answers, resumable=True)
+    assert error is None and told == [None, 1, 1]
+    assert responder.body == event(1) + event(2) + event(3)
+
+
+@pytest.mark.parametrize("neutral", [b": wait\n\n", b"retry: 1000\n\n", b"\n\n"])
+def test_a_comment_in_a_resumed_stream_is_relayed(neutral):
+    answers = (chunks(event(1), whole=False), chunks(neutral, event(2)))
+    responder, _, error = relayed(RouteKind.STREAM, *answers, resumable=True)
+    assert error is None and responder.body == event(1) + neutral + event(2)
--- a/verbenashore/events.py
+++ b/verbenashore/events.py
@@ -9,6 +9,8 @@
 #: The end of an event: that of its last line and a blank line.
 EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
 NO_NUMBER = -1
+#: Names of the fields that add nothing to a stream; a comment has no name.
+EMPTY_FIELDS = frozenset({"", "retry"})
 EVENT_STREAM = "text/event-stream"
 
 
@@ -23,11 +25,13 @@
     :param raw: its bytes as received, including the blank line.
     :param number: its id, or ``NO_NUMBER`` if it has no numeric id.
     :param data: the text of its data lines.
+    :param is_empty: whether it has no content: only comments or the retry time.
     """
 
     raw: bytes
     number: int
     data: str
+    is_empty: bool = False
 
 
 class EventSplitter:
@@ -60,11 +64,13 @@
     """Parses one complete event."""
     number = NO_NUMBER
     data = []
+    is_empty = True
     for line in LINE_END.split(raw.decode("utf-8", "replace")):
         name, _, value = line.partition(":")
+        is_empty = is_empty and name in EMPTY_FIELDS
         value = value.removeprefix(" ")
         if name == "id" and value.isascii() and value.isdigit():
             number = int(value)
         elif name == "data":
             data.append(value)
-    return ServerEvent(raw, number, "\n".join(data))
+    return ServerEvent(raw, number, "\n".join(data), is_empty)
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -15,7 +15,7 @@
 from verbenashore.client import GroupClient
 from verbenashore.directory import BackendEntry, Directory
 from verbenashore.dispatch import Dispatcher, Ticket, Verdict
-from verbenashore.events import NO_NUMBER, EventSplitter, is_event_stream
+from verbenashore.events import NO_NUMBER, EventSplitter, ServerEvent, is_event_stream
 from verbenashore.exceptions import (
     BackendError,
     DeadlineError,
@@ -634,13 +634,14 @@
         splitter = EventSplitter()
         resumable = relay.route.resumable
         has_events = is_event_stream(opened.exchange.content_type)
+        resumed = relay.respond.started
         async for part in opened.parts():
             relay.received_at = self._clock()
             if not relay.is_last_attempt:
                 opened.exchange.set_read_timeout(pause * STALL_SHARE)
             data = part
             if resumable:
-                data = self._complete_events(relay, splitter, part)
+                data = self._join_events(relay, splitter.feed(part), resumed=resumed)
             elif has_events:
                 splitter.feed(part)
             if not data:
@@ -659,9 +660,13 @@
             await relay.respond.send_chunk(splitter.partial)
         await relay.respond.end_stream()
 
-    def _complete_events(self, relay: Relay, splitter: EventSplitter, part: bytes) -> bytes:
-        """Returns the events that these bytes complete; their numbers must be consecutive."""
-        events = splitter.feed(part)
+    @staticmethod
+    def _join_events(relay: Relay, events: list[ServerEvent], *, resumed: bool) -> bytes:
+        """Returns the bytes of the next events; their numbers must be consecutive.
+
+        :param resumed: whether the stream was begun by another server; each of these events must
+            then have a number, since its place in the stream is unknown without.
+        """
         last = relay.last_event
         for event in events:
             if event.number != NO_NUMBER:
@@ -670,7 +675,11 @@
                         f"event {event.number} after event {last}", step="events", peer=""
                     )
                 last = event.number
-        # If there is a gap, none of these events is sent, so none of them counts.
+            elif resumed and not event.is_empty:
+                raise BackendError(
+                    f"event without a number after event {last}", step="events", peer=""
+                )
+        # If one doesn't fit, none of them is sent, so none of them counts.
         relay.last_event = last
         return b"".join(event.raw for event in events)
 
