Don't take an answer that is no event stream for the rest of a stream

When a stream had broken off and the next server answered 200 with an empty document, the caller's stream ended as complete. Any answer with status 200 was taken for events, whatever its content type. On resumable routes one of another type is now handled as a whole answer: it is relayed if nothing has been sent yet, where it failed before as a stream that ends inside an event, and is a failed attempt otherwise. An answer without a content type counts as events, as before.

--- a/tests/test_relayed.py
+++ b/tests/test_relayed.py
@@ -303,9 +303,13 @@
     assert responder.body == event(1) + rest
 
 
+@pytest.mark.parametrize("resumable", [False, True], ids=["once", "resumable"])
 @pytest.mark.parametrize("content_type", ["application/json", "text/plain"])
-def test_an_answer_that_is_no_event_stream_is_complete_without_a_blank_line(content_type):
-    responder, _, error = relayed(RouteKind.STREAM, head(200, content_type) + b'{"a": 1}')
+def test_an_answer_that_is_no_event_stream_is_complete_without_a_blank_line(
+    content_type, resumable
+):
+    answer = head(200, content_type) + b'{"a": 1}'
+    responder, _, error = relayed(RouteKind.STREAM, answer, resumable=resumable)
     assert error is None and responder.ended and responder.body == b'{"a": 1}'
 
 
@@ -389,3 +393,13 @@
     answers = (chunks(event(1), whole=False), chunks(neutral, event(2)))
     responder, _, error = relayed(RouteKind.STREAM, *answers, resumable=True)
     assert error is None and responder.body == event(1) + neutral + event(2)
+
+
+@pytest.mark.parametrize("body", [b"", ERROR_TEXT], ids=["empty", "text"])
+@pytest.mark.parametrize("content_type", ["application/json", "text/plain; charset=utf-8"])
+def test_an_answer_that_is_no_event_stream_is_not_joined_to_a_resumed_stream(content_type, body):
+    broken = chunks(event(1), whole=False)
+    answers = (broken, whole_answer(200, content_type, body), chunks(event(2)))
+    responder, told, error = relayed(RouteKind.STREAM, *answers, resumable=True)
+    assert error is None and told == [None, 1, 1]
+    assert responder.body == event(1) + event(2)
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -629,11 +629,14 @@
         )
 
     async def _relay_stream(self, relay: Relay, opened: OpenCall) -> None:
+        has_events = is_event_stream(opened.exchange.content_type)
+        if relay.route.resumable and not has_events:
+            await self._relay_whole_response(relay, opened)
+            return
         relay.set_step(Step.EVENTS, self._clock())
         pause = relay.route.pause or DEFAULT_PAUSE_SECONDS
         splitter = EventSplitter()
         resumable = relay.route.resumable
-        has_events = is_event_stream(opened.exchange.content_type)
         resumed = relay.respond.started
         async for part in opened.parts():
             relay.received_at = self._clock()
