Don't end a stream whose server closed the connection before an event

Callers of a stream that had broken off got its end as complete, or an empty stream with status 200, when the server that had it then sent a head without a length and closed the connection. The close is the end of such an answer, so one of a server that stopped right after the head looked whole. An event stream without a length that has brought no event is now a failed attempt. One with chunks or a length states its end itself and still completes a stream, such as one that broke off after its last event.

--- a/tests/test_relayed.py
+++ b/tests/test_relayed.py
@@ -403,3 +403,30 @@
     responder, told, error = relayed(RouteKind.STREAM, *answers, resumable=True)
     assert error is None and told == [None, 1, 1]
     assert responder.body == event(1) + event(2)
+
+
+@pytest.mark.parametrize("rest", [b"", b": wait\n\n", b": wait"], ids=["head", "comment", "part"])
+def test_an_unframed_answer_without_an_event_does_not_complete_a_resumed_stream(rest):
+    answers = (chunks(event(1), whole=False), head() + rest, chunks(event(2)))
+    responder, told, error = relayed(RouteKind.STREAM, *answers, resumable=True)
+    assert error is None and told == [None, 1, 1]
+    assert responder.body.replace(b": wait\n\n", b"") == event(1) + event(2)
+
+
+@pytest.mark.parametrize("rest", [b"", b": wait\n\n"], ids=["head", "comment"])
+def test_an_unframed_stream_without_an_event_is_run_at_another_server(rest):
+    answers = (head() + rest, chunks(event(1)))
+    responder, told, error = relayed(RouteKind.STREAM, *answers, resumable=True)
+    assert error is None and told == [None, None]
+    assert responder.body == rest + event(1)
+
+
+def test_an_unframed_stream_without_an_event_is_no_complete_answer():
+    responder, _, error = relayed(RouteKind.STREAM, head())
+    assert isinstance(error, OutcomeUnknownError) and not responder.started
+
+
+def test_a_framed_answer_without_an_event_completes_a_stream_whose_events_have_all_arrived():
+    answers = (chunks(event(1), whole=False), chunks())
+    responder, _, error = relayed(RouteKind.STREAM, *answers, resumable=True)
+    assert error is None and responder.ended and responder.body == event(1)
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -638,15 +638,14 @@
         splitter = EventSplitter()
         resumable = relay.route.resumable
         resumed = relay.respond.started
+        has_content = False
         async for part in opened.parts():
             relay.received_at = self._clock()
             if not relay.is_last_attempt:
                 opened.exchange.set_read_timeout(pause * STALL_SHARE)
-            data = part
-            if resumable:
-                data = self._join_events(relay, splitter.feed(part), resumed=resumed)
-            elif has_events:
-                splitter.feed(part)
+            events = splitter.feed(part) if has_events else []
+            has_content = has_content or any(not event.is_empty for event in events)
+            data = self._join_events(relay, events, resumed=resumed) if resumable else part
             if not data:
                 continue
             if not relay.respond.started:
@@ -657,6 +656,8 @@
             await relay.respond.send_chunk(data)
         if splitter.is_inside_event:
             raise BackendError("the stream ended inside an event", step="events", peer="")
+        if has_events and not has_content and not opened.exchange.framed:
+            raise BackendError("the connection closed before an event", step="events", peer="")
         if not relay.respond.started:
             await relay.respond.start_stream_with_headers(opened.head.status, opened.head.headers)
         if resumable and splitter.partial:
--- a/verbenashore/httpclient.py
+++ b/verbenashore/httpclient.py
@@ -43,6 +43,8 @@
 
     :param read_timeout: seconds for which each read waits for more data.
     :param read_pause: seconds to wait before each read, so that it gets more data at once.
+    :param framed: whether the response states where its body ends; otherwise that ends with the
+        connection.
     :param ended: whether the response was read to its end.
     """
 
@@ -65,6 +67,7 @@
         self.content_type = ""
         self.headers: list[tuple[bytes, bytes]] = []
         self.read_pause = 0.0
+        self.framed = False
         self.ended = False
 
     def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
@@ -111,6 +114,7 @@
         self.status = event.status_code
         self.headers = list(event.headers)
         fields = dict(event.headers)
+        self.framed = b"content-length" in fields or b"transfer-encoding" in fields
         self.content_type = fields.get(b"content-type", b"").decode("latin-1")
 
     async def parts(self) -> AsyncIterator[bytes]:
