Don't begin a stream of events without numbers again at another server

Where such a stream broke off on a resumable route, its caller got the events of a second run from the start behind those of the first, in one answer that was complete. With no number of a last event there is nothing to resume after. Once the caller has such an event and none with a number, the attempt is the last one, and the caller's connection is broken. It then also waits for the next part as long as any last attempt does.

Before the fix the test failed with

E + where False = isinstance(None, ConnectionResetError)

--- a/tests/test_relayed.py
+++ b/tests/test_relayed.py
@@ -430,3 +430,11 @@
     answers = (chunks(event(1), whole=False), chunks())
     responder, _, error = relayed(RouteKind.STREAM, *answers, resumable=True)
     assert error is None and responder.ended and responder.body == event(1)
+
+
+def test_a_stream_of_events_without_numbers_is_not_begun_again_at_another_server():
+    broken = chunks(b"data: a\n\n", whole=False)
+    answers = (broken, chunks(event(1)), chunks(b"data: a\n\n", b"data: b\n\n"))
+    responder, told, error = relayed(RouteKind.STREAM, *answers, resumable=True)
+    assert isinstance(error, ConnectionResetError) and told == [None]
+    assert responder.body == b"data: a\n\n" and not responder.ended
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -116,6 +116,7 @@
     :param runs: the number of attempts that may have run it.
     :param refusals: the number of attempts that did not: the server said so, or got nothing.
     :param last_event: the number of the last event that the caller has.
+    :param unnumbered: the caller has an event without a number.
     :param first_sent_at: when the first bytes were sent to the caller.
     :param last_sent_at: when the latest bytes were sent to the caller.
     :param longest_pause: the longest time between two sends to the caller, in seconds.
@@ -133,6 +134,7 @@
     runs: int = 0
     refusals: int = 0
     last_event: int | None = None
+    unnumbered: bool = False
     first_sent_at: float | None = None
     last_sent_at: float = 0.0
     longest_pause: float = 0.0
@@ -169,6 +171,8 @@
     @property
     def is_last_attempt(self) -> bool:
         """True if the call may not run again after the runs counted so far."""
+        if self.unnumbered and self.last_event is None:
+            return True
         return not self.route.repeatable or self.runs >= self.route.max_attempts
 
 
@@ -641,11 +645,12 @@
         has_content = False
         async for part in opened.parts():
             relay.received_at = self._clock()
-            if not relay.is_last_attempt:
-                opened.exchange.set_read_timeout(pause * STALL_SHARE)
             events = splitter.feed(part) if has_events else []
             has_content = has_content or any(not event.is_empty for event in events)
             data = self._join_events(relay, events, resumed=resumed) if resumable else part
+            opened.exchange.set_read_timeout(
+                relay.route.timeout if relay.is_last_attempt else pause * STALL_SHARE
+            )
             if not data:
                 continue
             if not relay.respond.started:
@@ -672,6 +677,7 @@
             then have a number, since its place in the stream is unknown without.
         """
         last = relay.last_event
+        unnumbered = relay.unnumbered
         for event in events:
             if event.number != NO_NUMBER:
                 if last is not None and event.number != last + 1:
@@ -679,12 +685,14 @@
                         f"event {event.number} after event {last}", step="events", peer=""
                     )
                 last = event.number
-            elif resumed and not event.is_empty:
-                raise BackendError(
-                    f"event without a number after event {last}", step="events", peer=""
-                )
+            elif not event.is_empty:
+                if resumed:
+                    raise BackendError(
+                        f"event without a number after event {last}", step="events", peer=""
+                    )
+                unnumbered = True
         # If one doesn't fit, none of them is sent, so none of them counts.
-        relay.last_event = last
+        relay.last_event, relay.unnumbered = last, unnumbered
         return b"".join(event.raw for event in events)
 
     async def _refresh_stale_list(self) -> None:
