Test that a head that ends early is no answer

A head cut at any byte, behind an interim head too, gives an error that doesn't say that the call was not run, and the read ends at once instead of being repeated. A body without a length ends with its connection unless that is reset; bytes after a whole answer are never read.

--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -1,6 +1,9 @@
 """Reads of a response: the timeout of each read, and pauses between reads."""
 
 import asyncio
+import socket
+import struct
+import time
 
 import pytest
 
@@ -86,3 +89,72 @@
     parts, seconds, error = read_parts(no_end, read_timeout=0.6, shorter=shorter)
     assert parts == [b"ab"] and error.step == "read"
     assert (shorter or 0.6) - 0.05 <= seconds < 1.5
+
+
+WHOLE_HEAD = b"HTTP/1.1 200 OK\r\nx-a: b\r\ncontent-type: text/event-stream\r\n\r\n"
+INTERIM_HEAD = b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"
+
+
+def close(writer):
+    """Ends a connection in order."""
+    writer.close()
+
+
+def reset(writer):
+    """Makes the kernel end a connection with a reset."""
+    no_linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+    writer.transport.abort()
+
+
+async def responses_to(sent, end):
+    """Sends a request for each of some byte strings, which the server sends before it ends.
+
+    Returns the status of each response or the step of its error.
+    """
+    waiting = list(sent)
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(waiting.pop(0))
+        await writer.drain()
+        end(writer)
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    results = []
+    async with server:
+        for _ in sent:
+            try:
+                response = await httpclient.request(f"{host}:{port}", "GET", "/", seconds=5.0)
+                results.append(response.status)
+            except BackendError as error:
+                assert not error.not_run
+                results.append(error.step)
+    return results
+
+
+@pytest.mark.parametrize("end", [close, reset])
+@pytest.mark.parametrize("before", [b"", INTERIM_HEAD], ids=["first", "after an interim head"])
+@pytest.mark.parametrize("line_end", [b"\r\n", b"\n"], ids=["crlf", "lf"])
+def test_a_head_that_ends_early_is_no_response(end, before, line_end):
+    head = WHOLE_HEAD.replace(b"\r\n", line_end)
+    cuts = [before + head[:size] for size in range(len(head))]
+    started = time.process_time()
+    results = asyncio.run(responses_to(cuts, end))
+    assert set(results) <= {"read", "head", "exchange"}
+    assert time.process_time() - started < 2.0
+    assert asyncio.run(responses_to([before + head], close)) == [200]
+
+
+@pytest.mark.parametrize("body", [b"", b"part"])
+def test_a_body_without_a_length_is_whole_if_it_is_closed_and_not_if_it_is_reset(body):
+    sent = [WHOLE_HEAD + body]
+    assert asyncio.run(responses_to(sent, close)) == [200]
+    assert asyncio.run(responses_to(sent, reset)) == ["exchange"]
+
+
+def test_bytes_after_a_response_belong_to_no_request():
+    first = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+    refusal = b"HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n"
+    assert asyncio.run(responses_to([first + refusal, first], close)) == [200, 200]
--- a/tests/test_relayed.py
+++ b/tests/test_relayed.py
@@ -438,3 +438,34 @@
     responder, told, error = relayed(RouteKind.STREAM, *answers, resumable=True)
     assert isinstance(error, ConnectionResetError) and told == [None]
     assert responder.body == b"data: a\n\n" and not responder.ended
+
+
+def cut_heads():
+    """Returns an answer's head, cut in its status line, in and after a line and before its end."""
+    whole = head(200, "text/event-stream", "x-a: b")
+    sizes = (0, 4, 12, whole.index(b"x-a") + 5, whole.index(b"content") - 1, len(whole) - 2)
+    return [whole[:size] for size in (*sizes, whole.index(b"content"), len(whole) - 1)]
+
+
+@pytest.mark.parametrize("end", [asyncio.StreamWriter.close, reset], ids=["close", "reset"])
+@pytest.mark.parametrize("kind", [RouteKind.ONCE, RouteKind.STREAM])
+def test_a_head_that_ends_early_is_no_answer(kind, end):
+    for cut in cut_heads():
+        responder, _, error = relayed(kind, cut, end=end)
+        assert isinstance(error, OutcomeUnknownError) and not responder.started
+
+
+@pytest.mark.parametrize("end", [asyncio.StreamWriter.close, reset], ids=["close", "reset"])
+def test_a_head_that_ends_early_does_not_complete_a_resumed_stream(end):
+    for cut in cut_heads():
+        ends = iter([asyncio.StreamWriter.close, end, asyncio.StreamWriter.close])
+        responder, told, error = relayed(
+            RouteKind.STREAM,
+            chunks(event(1), whole=False),
+            cut,
+            chunks(event(2)),
+            resumable=True,
+            end=lambda writer, ends=ends: next(ends)(writer),
+        )
+        assert error is None and told == [None, 1, 1]
+        assert responder.body == event(1) + event(2)
