Believe a refusal only if it names its call

A call that may run once was sent to a second server, or its caller was told that it had not run, after an answer that didn't show it: a refusal without a call's id, which a faulty server may have written for another call, or status 421 without the statement that the call was not run. Servers echo the id and make that statement in every refusal; the calls always have an id. Any other such answer is now a failure of a call that may have run. A refusal with another call's id was already one.

Before the fix nine cases failed: each of the four statuses without an id, first and after an interim head, and 421 alone:

E + where False = isinstance(None, OutcomeUnknownError)

These passed before: each call has a connection of its own, so nothing behind a whole answer is read, neither a refusal nor anything else; a refusal inside an answer that has begun is part of its body, or breaks its chunks; and a refusal after a run at another server leaves the outcome unknown. The stand-in engine refused without an id, and with 421 alone; it now answers as the platform's engines do.

--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -91,16 +91,18 @@
     async def handle_request(self, request, respond):
         """Answers one call or health check."""
         expected = request.headers.get(wire.EXPECT_INSTANCE, self.name)
+        call = request.headers.get(wire.REQUEST_ID, "")
+        not_run = {wire.NOT_EXECUTED: "1", wire.REQUEST_ID: call}
         if expected != self.name:
-            await respond.send_json(421, {}, {"x-verbenashore-instance-id": self.name})
+            headers = {"x-verbenashore-instance-id": self.name, **not_run}
+            await respond.send_json(421, {}, headers)
             return
         if request.path == "/health":
             await respond.send_json(200, {}, {"x-verbenashore-instance-id": self.name})
             return
         fault = next((f for p, f in self.faults.items() if request.path.startswith(p)), "")
-        call = request.headers[wire.REQUEST_ID]
         if fault == "not-run":
-            await respond.send_json(503, {}, {wire.NOT_EXECUTED: "1"})
+            await respond.send_json(503, {}, not_run)
             return
         first_event = int(request.headers.get(wire.LAST_EVENT_ID, "0")) + 1
         run = {"call": call, "first": first_event, "outcome": "cut", "headers": request.headers}
--- a/tests/test_relayed.py
+++ b/tests/test_relayed.py
@@ -469,3 +469,67 @@
         )
         assert error is None and told == [None, 1, 1]
         assert responder.body == event(1) + event(2)
+
+
+REFUSALS = (421, 429, 503, 400)
+NOT_RUN = "x-verbenashore-not-executed: 1"
+
+
+def refusal(status, *fields):
+    """Returns a server's answer that it did not run the call, if the fields say so."""
+    lines = [f"HTTP/1.1 {status} X", *fields, "content-length: 0", "", ""]
+    return "\r\n".join(lines).encode()
+
+
+def one(number):
+    """Returns a whole answer."""
+    return whole_answer(200, "text/plain", b"%d" % number)
+
+
+@pytest.mark.parametrize("status", REFUSALS)
+def test_a_refusal_that_names_the_call_is_believed(status):
+    answers = (refusal(status, NOT_RUN, "x-verbenashore-request-id: c"), one(2))
+    responder, told, error = relayed(RouteKind.ONCE, *answers)
+    assert error is None and len(told) == 2 and responder.body == b"2"
+
+
+@pytest.mark.parametrize("status", REFUSALS)
+@pytest.mark.parametrize("named", [(), ("x-verbenashore-request-id: d",)], ids=["none", "other"])
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 102 X\r\n\r\n"], ids=["first", "interim"])
+def test_a_refusal_that_does_not_name_the_call_does_not_say_that_it_was_not_run(
+    status, named, interim
+):
+    answers = (interim + refusal(status, NOT_RUN, *named), one(2))
+    responder, told, error = relayed(RouteKind.ONCE, *answers)
+    assert isinstance(error, OutcomeUnknownError) and not error.not_run
+    assert len(told) == 1 and not responder.started
+
+
+@pytest.mark.parametrize("status", [421, 429, 503, 408])
+def test_a_status_alone_does_not_say_that_the_call_was_not_run(status):
+    answers = (refusal(status, "x-verbenashore-request-id: c"), one(2))
+    responder, told, error = relayed(RouteKind.ONCE, *answers)
+    assert isinstance(error, OutcomeUnknownError) and not error.not_run
+    assert len(told) == 1 and not responder.started
+
+
+@pytest.mark.parametrize("kind", [RouteKind.ONCE, RouteKind.REPEATABLE])
+@pytest.mark.parametrize("named", [(), ("x-verbenashore-request-id: c",)], ids=["none", "own"])
+def test_a_refusal_behind_a_whole_answer_is_not_read(kind, named):
+    responder, told, error = relayed(kind, one(1) + refusal(503, NOT_RUN, *named), one(2))
+    assert error is None and len(told) == 1 and responder.body == b"1"
+
+
+@pytest.mark.parametrize("framed", [False, True], ids=["unframed", "chunked"])
+def test_a_refusal_in_the_middle_of_an_answer_does_not_say_that_the_call_was_not_run(framed):
+    text = refusal(503, NOT_RUN, "x-verbenashore-request-id: c")
+    begun = chunks(event(1), whole=False) + text if framed else head() + event(1) + text + b"x"
+    responder, told, error = relayed(RouteKind.STREAM, begun, chunks(event(1)))
+    assert isinstance(error, ConnectionResetError) and len(told) == 1 and not responder.ended
+
+
+def test_a_refusal_after_a_run_at_another_server_does_not_say_that_the_call_was_not_run():
+    refused = refusal(503, NOT_RUN, "x-verbenashore-request-id: c")
+    answers = (b"HTTP/1.1 2", *[refused] * 6)
+    responder, told, error = relayed(RouteKind.REPEATABLE, *answers)
+    assert isinstance(error, OutcomeUnknownError) and len(told) == 6
--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -45,7 +45,7 @@
 
     :param headers: those that are forwarded to the caller.
     :param call: the id of the call that it answers; "" if it states none.
-    :param not_run: the server states that it did not run the call.
+    :param not_run: the server states that it did not run the call; believed only if it names that.
     :param replaced: another server than the expected one answered; it did not run the call.
     """
 
@@ -142,6 +142,13 @@
             raise BackendError(
                 "the response belongs to another call", step="head", peer=server.name
             )
+        if (head.replaced or head.not_run) and not (head.not_run and head.call):
+            # It may be an answer to another call, or one of the service itself.
+            raise BackendError(
+                f"status {head.status} without a statement about this call",
+                step="head",
+                peer=server.name,
+            )
         if head.replaced:
             raise BackendReplacedError(
                 "another server has this address", step="head", peer=server.name, not_run=True
