Don't end an item with an answer that isn't the rest of its events

An item whose run had broken off was listed as completed with a part of its text when the next server answered 200 with something else: an error text or event without a number, the head of another answer, an empty document, or nothing at all before it closed the connection of an answer without a length. Events without a number were passed over, and the end of such an answer counted as the item's end. An attempt now fails if its answer has another content type or an event without a number other than comments and the retry time, or if it states no length and brings no event. The item then resumes at another server.

--- a/tests/test_jobrunner.py
+++ b/tests/test_jobrunner.py
@@ -438,3 +438,78 @@
     items = 200
     lookups = asyncio.run(count_service_choices(monkeypatch, items))
     assert items <= lookups <= items * 0.5 / MIN_KEPT_SECONDS + items
+
+
+EVENT_HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n"
+
+
+def item_events(first, last):
+    """Returns numbered events."""
+    numbers = range(first, last + 1)
+    return b"".join(b"id: %d\ndata: x%d\n\n" % (number, number) for number in numbers)
+
+
+async def run_item_on(answers):
+    """Runs an item on servers that send the given answers, one each, and close the connection.
+
+    Returns after which event each run was to resume, and the item's result.
+    """
+    asked = []
+
+    async def answer(reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        asked.append(int(re.search(rb"(?i)after: *(\d+)", head)[1]))
+        writer.write(answers[len(asked) - 1])
+        await writer.drain()
+        writer.close()
+
+    listener = await asyncio.start_server(answer, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    servers = [BackendEntry(f"b{n}", "s", f"{host}:{port}", "d", 4, False) for n in range(3)]
+    job_table = ItemJobTable()
+    spec = ItemSpec("i", "/b/x", [], b"", 1)
+    itemjobs.submit_job(job_table, SubmitItemJob("j", "r", "h", [spec], 18.0, 0.0, 3, 0, 60.0), 0.0)
+
+    async def commit(command):
+        itemjobs.record_attempts(job_table, command)
+
+    metrics = Metrics("ledger", ())
+    runner = make_runner(job_table, servers[0], commit, metrics, further_servers=servers[1:])
+    leading = asyncio.create_task(runner.run())
+    async with listener:
+        await wait_until(lambda: job_table.job_by_id["j"].items[0].listed)
+    leading.cancel()
+    await asyncio.gather(leading, return_exceptions=True)
+    (result,) = itemjobs.results_page(job_table.job_by_id["j"], 0).results
+    return asked, result
+
+
+WRONG_ANSWERS = {
+    "head": EVENT_HEAD,
+    "comment": EVENT_HEAD + b": wait\n\n",
+    "cut head": EVENT_HEAD[:-2],
+    "cut line": EVENT_HEAD[:25],
+    "inside an event": EVENT_HEAD + b"id: 3\ndata: x\n",
+    "data": EVENT_HEAD + b"data: overloaded\n\n",
+    "json": EVENT_HEAD + b'{"error": 1}\n\n',
+    "another head": EVENT_HEAD + b"HTTP/1.1 500 X\r\ncontent-type: text/plain\r\n\r\n",
+    "document": b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 0\r\n\r\n",
+    "refusal": b"HTTP/1.1 429 X\r\ncontent-length: 0\r\n\r\n",
+    "from zero": EVENT_HEAD + item_events(0, 4),
+    "again": EVENT_HEAD + item_events(1, 4),
+    "skip": EVENT_HEAD + item_events(4, 4),
+}
+
+
+@pytest.mark.parametrize("wrong", WRONG_ANSWERS.values(), ids=WRONG_ANSWERS.keys())
+def test_a_wrong_answer_to_a_resumed_item_does_not_end_or_change_its_text(wrong):
+    broken = EVENT_HEAD + item_events(1, 2) + b"id: 3\nda"
+    asked, result = asyncio.run(run_item_on([broken, wrong, EVENT_HEAD + item_events(3, 4)]))
+    assert asked == [0, 2, 2] and result.completed
+    assert result.text == "x1\nx2\nx3\nx4"
+
+
+def test_text_without_a_number_after_an_event_does_not_end_an_item():
+    first = EVENT_HEAD + item_events(1, 2) + b"data: overloaded\n\n"
+    asked, result = asyncio.run(run_item_on([first, EVENT_HEAD + item_events(3, 4)]))
+    assert asked == [0, 2] and result.text == "x1\nx2\nx3\nx4"
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -16,7 +16,7 @@
 from verbenashore.backendcall import Call, Dialect
 from verbenashore.directory import BackendEntry, Directory
 from verbenashore.dispatch import Dispatcher
-from verbenashore.events import NO_NUMBER, EventSplitter
+from verbenashore.events import NO_NUMBER, EventSplitter, is_event_stream
 from verbenashore.exceptions import BackendBusyError, BackendError, VerbenaError
 from verbenashore.itemjobs import (
     Attempt,
@@ -484,13 +484,23 @@
     async def _collect_events(
         self, opened: backendcall.OpenCall, run: Run, progress: Progress
     ) -> None:
+        if not is_event_stream(opened.exchange.content_type):
+            raise BackendError("not an event stream", step="head", peer=run.server.name)
         splitter = EventSplitter()
+        has_content = False
         # Nobody waits for a single event of an item, so several are read at once.
         opened.exchange.read_pause = READ_PAUSE_SECONDS
         async for chunk in opened.parts():
             for event in splitter.feed(chunk):
-                if event.number == NO_NUMBER:
+                if event.is_empty:
                     continue
+                has_content = True
+                if event.number == NO_NUMBER:
+                    raise BackendError(
+                        f"event without a number after event {progress.last_event}",
+                        step="events",
+                        peer=run.server.name,
+                    )
                 if progress.last_event is not None and event.number != progress.last_event + 1:
                     raise BackendError(
                         f"event {event.number} out of sequence after event {progress.last_event}",
@@ -503,6 +513,10 @@
             raise BackendError(
                 "the response ends within an event", step="events", peer=run.server.name
             )
+        if not has_content and not opened.exchange.framed:
+            raise BackendError(
+                "the connection closed before an event", step="events", peer=run.server.name
+            )
 
     def _fail_unroutable(self, key: ItemKey) -> None:
         """Fails an item for good, since no route matches it any more."""
