Read comments and other line ends in the answers of model engines

Each generation failed at an engine that sends comments, as many do to keep a connection open, or ends its lines with CR LF: the client took a comment for JSON, and events ended only at LF LF. It now splits the stream as the relay does.

--- a/verbenashore/engine.py
+++ b/verbenashore/engine.py
@@ -5,12 +5,11 @@
 import msgspec
 
 from verbenashore import httpclient
+from verbenashore.events import EventSplitter
 from verbenashore.exceptions import BackendError, BackendRefusedError
 from verbenashore.types import FencingNumber
 
-EVENT_END = b"\n\n"
-DATA_PREFIX = b"data: "
-LAST_EVENT = b"[DONE]"
+LAST_EVENT = "[DONE]"
 STATE_TIMEOUT_SECONDS = 1.0
 #: Statuses by which an engine rejects the request itself, so that a retry would fail, too.
 REJECTED_STATUSES = frozenset({400, 413, 422})
@@ -126,11 +125,10 @@
             not_run = exchange.status in NOT_RUN_STATUSES
             problem = f"status {exchange.status}"
             raise BackendError(problem, step="engine", peer=address, not_run=not_run)
-        buffer = b""
+        splitter = EventSplitter()
         pending = GeneratedPart()
         async for part in exchange.parts():
-            *events, buffer = (buffer + part).split(EVENT_END)
-            final_markers = [_add_event(event, pending) for event in events]
+            final_markers = [_add_event(event.data, pending) for event in splitter.feed(part)]
             if any(final_markers) and pending.finish_reason:
                 yield pending
                 return
@@ -172,9 +170,8 @@
     return msgspec.json.encode(document)
 
 
-def _add_event(event: bytes, pending: GeneratedPart) -> bool:
-    """Adds one event to the part being collected; returns true for the final marker."""
-    data = event.strip().removeprefix(DATA_PREFIX)
+def _add_event(data: str, pending: GeneratedPart) -> bool:
+    """Adds the data of one event to the part being collected; returns true for the final marker."""
     if data == LAST_EVENT:
         return True
     if not data:
