Don't end a generation that has begun when another engine rejects it

A generation had begun at one engine, broke off, and the next engine rejected its rest, for instance as too long: the stream was cut, or the caller of a whole answer got the rejection with "not_run": true, though an engine had run the request. The same happened to a generation that was running at one engine when the hedge's engine rejected it. A rejection said at once, without a look at the other attempts, that the request itself was wrong and was not run. Now it ends the generation only if there is no token yet and no other attempt runs, and it says "not_run" only if no earlier attempt may have run. Otherwise it is a failed attempt, without marking the agent as slow.

--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -7,7 +7,12 @@
 
 from verbenashore import completions, placement
 from verbenashore.deployment import OnlinePolicy
-from verbenashore.exceptions import BackendError, OverloadedError, UnavailableError
+from verbenashore.exceptions import (
+    BackendError,
+    BackendRefusedError,
+    OverloadedError,
+    UnavailableError,
+)
 from verbenashore.messages import AgentLoad, TokenChunk
 from verbenashore.placement import Placement, Target
 from verbenashore.streams import StreamRunner
@@ -129,3 +134,35 @@
     with pytest.raises(UnavailableError) as failed:
         run(Agents([0.4], [full], [full]), first_token_seconds=0.2)
     assert not failed.value.not_run
+
+
+@pytest.mark.parametrize(
+    ("begun", "error"),
+    [([part(0, "x")], UnavailableError), ([], BackendRefusedError)],
+    ids=["begun", "no token"],
+)
+def test_a_rejection_after_a_failed_attempt_is_not_reported_as_not_run(begun, error):
+    lost = BackendError("gone", step="stream")
+    rejected = BackendRefusedError("too long", "b")
+    with pytest.raises(error) as failed:
+        run(Agents([*begun, lost], [rejected], [rejected]), hedge=False)
+    assert not failed.value.not_run
+
+
+def test_a_stream_that_one_agent_rejects_in_the_middle_resumes_at_another():
+    lost = BackendError("gone", step="stream")
+    rejected = BackendRefusedError("too long", "b")
+    agents = Agents([part(0, "x"), lost], [rejected], [part(0, "y", "stop")])
+    assert run(agents, hedge=False) == "xy"
+
+
+def test_a_rejection_does_not_end_an_attempt_that_runs_at_another_agent():
+    rejected = BackendRefusedError("too long", "b")
+    agents = Agents([0.6, part(0, "x", "stop")], [rejected])
+    assert run(agents, first_token_seconds=0.2) == "x"
+
+
+def test_a_first_rejection_is_returned_at_once_and_was_not_run():
+    with pytest.raises(BackendRefusedError) as failed:
+        run(Agents([BackendRefusedError("too long", "b")]))
+    assert failed.value.not_run
--- a/verbenashore/streams.py
+++ b/verbenashore/streams.py
@@ -350,17 +350,20 @@
     async def _handle_failure(self, attempt: Attempt, error: VerbenaError) -> None:
         """Removes a failed attempt; if no other one runs, retries or raises the final error.
 
-        A request that a backend server rejected fails at once.
+        A request that a backend server rejected fails at once, unless another one has begun it.
         """
         refused = isinstance(error, OverloadedError)
-        self._discard_attempt(attempt, refused=refused)
-        if isinstance(error, BackendRefusedError):
+        rejected = isinstance(error, BackendRefusedError)
+        self._discard_attempt(attempt, refused=refused or rejected)
+        if rejected and not self._tokens and not self._attempts:
+            error.not_run = not self._discarded_may_have_run
             raise error
         self._excluded.add(attempt.target.name)
         self._refusals += refused
         self._failures += not refused
         if not refused:
-            placement.mark_slow(attempt.target, self._runner.clock())
+            if not rejected:
+                placement.mark_slow(attempt.target, self._runner.clock())
             logs.info(Event.REQUEST_RETRIED, peer=attempt.target.name, error=error.message)
             self._runner.count("retries")
         if self._attempts:
