Answer a HEAD request for a stream without a length

Since a stream that states no length and brings no event isn't complete, which an answer to HEAD never can: its end is known from its head. The test failed with

E AssertionError: assert (OutcomeUnknownError('the connection closed before an event') is None)

--- a/tests/test_relayed.py
+++ b/tests/test_relayed.py
@@ -211,7 +211,7 @@
     writer.transport.abort()
 
 
-async def relay_call(route, answers, end):
+async def relay_call(route, answers, end, method="GET"):
     """Relays a call to servers that send the given answers, one each, and close the connection.
 
     Returns the responder, the last event that each server was told, and the error of the call.
@@ -236,7 +236,7 @@
             BackendEntry(f"b{n}", "s", f"{host}:{port}", "d", 4, False) for n in range(len(answers))
         ]
         entry._list_updater.install(servers, entry._clock())
-        call = Call("c", "h", "GET", "/l/x", "/l/x", [], b"", 5.0)
+        call = Call("c", "h", method, "/l/x", "/l/x", [], b"", 5.0)
         try:
             await entry.relay(call, route, responder)
         except (VerbenaError, ConnectionResetError) as error:
@@ -244,7 +244,7 @@
     return responder, told, None
 
 
-def relayed(kind, *answers, resumable=False, end=asyncio.StreamWriter.close):
+def relayed(kind, *answers, resumable=False, end=asyncio.StreamWriter.close, method="GET"):
     """Relays a call that may be sent to as many servers as there are answers."""
     route = Route(
         "r",
@@ -257,7 +257,7 @@
         max_attempts=len(answers),
         resumable=resumable,
     )
-    return asyncio.run(relay_call(route, answers, end))
+    return asyncio.run(relay_call(route, answers, end, method))
 
 
 def head(status=200, content_type="text/event-stream", *fields):
@@ -426,6 +426,11 @@
     assert isinstance(error, OutcomeUnknownError) and not responder.started
 
 
+def test_an_answer_to_head_is_complete_without_a_length_or_an_event():
+    responder, _, error = relayed(RouteKind.STREAM, head(), method="HEAD")
+    assert error is None and responder.ended and responder.status == 200
+
+
 def test_a_framed_answer_without_an_event_completes_a_stream_whose_events_have_all_arrived():
     answers = (chunks(event(1), whole=False), chunks())
     responder, _, error = relayed(RouteKind.STREAM, *answers, resumable=True)
--- a/verbenashore/httpclient.py
+++ b/verbenashore/httpclient.py
@@ -43,8 +43,8 @@
 
     :param read_timeout: seconds for which each read waits for more data.
     :param read_pause: seconds to wait before each read, so that it gets more data at once.
-    :param framed: whether the response states where its body ends; otherwise that ends with the
-        connection.
+    :param framed: whether the end of the body is known from the head; otherwise the body ends with
+        the connection.
     :param ended: whether the response was read to its end.
     """
 
@@ -63,6 +63,7 @@
         self._waiting_since: float | None = None
         self._timer = self._loop.call_later(read_timeout, self._check_read)
         self._connection = h11.Connection(h11.CLIENT)
+        self._method = ""
         self.status = 0
         self.content_type = ""
         self.headers: list[tuple[bytes, bytes]] = []
@@ -72,6 +73,7 @@
 
     def send(self, method: str, target: str, headers: Headers, body: bytes) -> None:
         """Writes the request without waiting: the peer may respond before it has read all of it."""
+        self._method = method
         supplied: list[Any] = list(headers.items() if isinstance(headers, dict) else headers)
         names = {_lower_case(name) for name, _ in supplied}
         defaults = [("host", self._peer), ("content-length", str(len(body)))]
@@ -114,7 +116,9 @@
         self.status = event.status_code
         self.headers = list(event.headers)
         fields = dict(event.headers)
-        self.framed = b"content-length" in fields or b"transfer-encoding" in fields
+        self.framed = (
+            self._method == "HEAD" or b"content-length" in fields or b"transfer-encoding" in fields
+        )
         self.content_type = fields.get(b"content-type", b"").decode("latin-1")
 
     async def parts(self) -> AsyncIterator[bytes]:
