Don't read the body of an error before a stream resumes elsewhere

When the next server answered a stream that had begun with an error and was slow to send its body, the caller's stream stood still for as long as the body took, or until the attempt timed out. The body isn't used; the attempt now fails at the head.

Before the fix the test failed, with a server that never sends the body:

E assert (1822.56436895 - 1819.55281524) < 1.5

--- a/tests/test_relayed.py
+++ b/tests/test_relayed.py
@@ -1,9 +1,11 @@
 """Relayed calls to servers that stall or are behind a slow line: what is done and logged."""
 
 import asyncio
+import contextlib
 import re
 import socket
 import struct
+import time
 
 import pytest
 
@@ -227,6 +229,9 @@
         writer.write(answers[len(told) - 1])
         await writer.drain()
         end(writer)
+        with contextlib.suppress(ConnectionError):
+            await reader.read()
+        writer.close()
 
     listener = await asyncio.start_server(serve, "127.0.0.1", 0)
     host, port = listener.sockets[0].getsockname()
@@ -538,3 +543,19 @@
     answers = (b"HTTP/1.1 2", *[refused] * 6)
     responder, told, error = relayed(RouteKind.REPEATABLE, *answers)
     assert isinstance(error, OutcomeUnknownError) and len(told) == 6
+
+
+def test_a_stream_does_not_wait_for_the_body_of_an_error_before_it_resumes():
+    stalled = head(500, "text/plain", "content-length: 9")
+    ends = iter([asyncio.StreamWriter.close, lambda _writer: None, asyncio.StreamWriter.close])
+    started = time.monotonic()
+    responder, told, error = relayed(
+        RouteKind.STREAM,
+        chunks(event(1), whole=False),
+        stalled,
+        chunks(event(2)),
+        resumable=True,
+        end=lambda writer: next(ends)(writer),
+    )
+    assert error is None and told == [None, 1, 1] and responder.body == event(1) + event(2)
+    assert time.monotonic() - started < 1.5
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -608,19 +608,19 @@
             raise
 
     async def _relay_whole_response(self, relay: Relay, opened: OpenCall) -> None:
+        head = opened.head
+        if relay.respond.started:
+            raise BackendError(
+                f"status {head.status} when resuming the stream", step="head", peer=""
+            )
         relay.set_step(Step.BODY, self._clock())
         parts = []
         async for part in opened.parts():
             relay.received_at = self._clock()
             parts.append(part)
         body = b"".join(parts)
-        head = opened.head
         if head.status >= 500 and not relay.is_last_attempt:
             raise BackendError(f"status {head.status}", step="head", peer="")
-        if relay.respond.started:
-            raise BackendError(
-                f"status {head.status} when resuming the stream", step="head", peer=""
-            )
         if head.status in NOT_RUN_STATUSES:
             raise BackendError(
                 f"status {head.status} without a statement that the call was not run",
