Reset the connection of an HTTP/1.0 caller whose response is broken off

A response to HTTP/1.0 has no chunks and ends with its connection. When it was broken off, the connection was closed in order, so the caller took the part for the whole. Such a connection is now reset. With HTTP/1.1 the missing last chunk shows the break, as before.

Before the fix the two cases of HTTP/1.0 failed:

E AssertionError: assert (False or (b'chunked' in b'HTTP/1.1 200 \r\nConnection: close\r\n\r\npart'))

--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,4 +1,4 @@
-"""Requests that reach a server at the moment when it stops."""
+"""Requests that reach a server at the moment when it stops, and responses that are broken off."""
 
 import asyncio
 import socket
@@ -72,3 +72,32 @@
             await asyncio.wait_for(serving, 1.0)
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize("error", [ConnectionResetError, ValueError])
+def test_a_response_that_is_broken_off_is_not_complete_for_its_caller(version, error):
+    async def handle(_request, respond):
+        await respond.start_stream_with_headers(200, [])
+        await respond.send_chunk(b"part")
+        raise error
+
+    async def run():
+        listener = open_listener("127.0.0.1:0")
+        stopping = asyncio.Event()
+        serving = asyncio.create_task(httpserver.serve(listener, handle, stopping))
+        reader, writer = await asyncio.open_connection(*listener.getsockname())
+        writer.write(f"GET / HTTP/{version}\r\nhost: h\r\n\r\n".encode())
+        received, reset = b"", False
+        try:
+            while part := await reader.read(4096):
+                received += part
+        except ConnectionResetError:
+            reset = True
+        writer.close()
+        stopping.set()
+        await serving
+        return received, reset
+
+    received, reset = asyncio.run(run())
+    assert reset or (b"chunked" in received and not received.endswith(b"0\r\n\r\n"))
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from collections.abc import Awaitable, Callable, Iterator, Mapping
 from typing import Any
 from urllib.parse import parse_qsl, unquote, urlsplit
@@ -208,6 +209,8 @@
         finally:
             connections.discard(connection)
             tasks.discard(task)
+            if connection.broke_off_unframed:
+                _reset(writer)
             writer.close()
 
     async def serve_queued(caller: socket.socket) -> None:
@@ -234,6 +237,14 @@
         await misc.cancel_and_wait(*tasks)
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Ends a connection with a reset, so that its caller doesn't take the close for the end."""
+    no_linger = struct.pack("ii", 1, 0)
+    with contextlib.suppress(OSError):  # The caller may have closed it.
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+    writer.transport.abort()
+
+
 def _accept_all(listener: socket.socket) -> Iterator[socket.socket]:
     """Yields the connections that the kernel has queued for a non-blocking listening socket."""
     with contextlib.suppress(BlockingIOError):
@@ -272,6 +283,12 @@
             h11.SERVER, max_incomplete_event_size=server_state.server_limits.limits.header_bytes
         )
 
+    @property
+    def broke_off_unframed(self) -> bool:
+        """True if the response is not complete and ends with the connection, as in HTTP/1.0."""
+        is_open = self._connection.our_state in (h11.SEND_BODY, h11.ERROR)
+        return is_open and self._connection.their_http_version == b"1.0"
+
     async def run(self) -> None:
         """Serves the requests of the connection one by one."""
         while True:
