--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -52,7 +52,7 @@
 
     :param headers: those that are forwarded to the caller.
     :param call: the id of the call that it answers; "" if it states none.
-    :param not_run: the server states that it did not run the call.
+    :param not_run: the server states that it did not run the call; believed only if it names that.
     :param misdirected: the server states that the call is not for it, and did not run it.
     :param leaving: the server that answered states that it leaves.
     :param answered_by: the name of the server that answered; "" if it states none.
@@ -133,7 +133,8 @@
         server.address, "GET", path, b"", PROBE_TIMEOUT_SECONDS, headers
     ) as exchange:
         head = dialect.read_head(exchange.status, exchange.headers)
-        _check_server(head, server, on_leaving)
+        _report_leaving(head, server, on_leaving)
+        _check_misdirected(head, server)
         async for _ in exchange.parts():
             pass
     if head.is_from_other(server):
@@ -142,26 +143,30 @@
         raise BackendError(f"status {head.status}", step="head", peer=server.name, not_run=True)
 
 
-def _check_server(head: AnswerHead, server: BackendEntry, on_leaving: LeavingHandler) -> None:
-    """Checks that the expected server took a call for its own, and reports it if it leaves.
+def _report_leaving(head: AnswerHead, server: BackendEntry, on_leaving: LeavingHandler) -> None:
+    if head.leaving and not head.misdirected and not head.is_from_other(server):
+        on_leaving(server)
+
+
+def _check_misdirected(head: AnswerHead, server: BackendEntry) -> None:
+    """Checks that a server took a call for its own.
 
     :raises BackendReplacedError: another server refused the call.
     :raises BackendError: a server that doesn't name itself, or the expected one, refused it as not
         meant for it.
     """
-    if head.misdirected and head.is_from_other(server):
+    if not head.misdirected:
+        return
+    if head.is_from_other(server):
         raise _replaced_error(head, server)
-    if head.misdirected:
-        # The expected server may refuse a call for another reason, such as a version that the
-        # caller expects.
-        raise BackendError(
-            f"status {head.status}: the call is not meant for the server",
-            step="head",
-            peer=server.name,
-            not_run=True,
-        )
-    if head.leaving and not head.is_from_other(server):
-        on_leaving(server)
+    # The expected server may refuse a call for another reason, such as a version that the caller
+    # expects.
+    raise BackendError(
+        f"status {head.status}: the call is not meant for the server",
+        step="head",
+        peer=server.name,
+        not_run=True,
+    )
 
 
 def _replaced_error(head: AnswerHead, server: BackendEntry) -> BackendReplacedError:
@@ -236,7 +241,15 @@
             raise BackendError(
                 "the response belongs to another call", step="head", peer=server.name
             )
-        _check_server(head, server, on_leaving)
+        _report_leaving(head, server, on_leaving)
+        if (head.misdirected or head.not_run) and not (head.not_run and head.call):
+            # It may be an answer to another call, or one of the service itself.
+            raise BackendError(
+                f"status {head.status} without a statement about this call",
+                step="head",
+                peer=server.name,
+            )
+        _check_misdirected(head, server)
         if head.not_run:
             raise BackendBusyError(
                 f"status {head.status}: the server did not run the call",
--- a/verbenashore/events.py
+++ b/verbenashore/events.py
@@ -1,9 +1,22 @@
 """Parses numbered server-sent events out of a byte stream."""
 
+import re
+
 import msgspec
 
-EVENT_SEPARATORS = (b"\n\n", b"\r\n\r\n")
+#: A line ends with CR LF, LF or CR; no other character ends one.
+LINE_END = re.compile(r"\r\n|\n|\r")
+#: The end of an event: that of its last line and a blank line.
+EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
 NO_NUMBER = -1
+#: Names of the fields that add nothing to a stream; a comment has no name.
+EMPTY_FIELDS = frozenset({"", "retry"})
+EVENT_STREAM = "text/event-stream"
+
+
+def is_event_stream(content_type: str) -> bool:
+    """Returns whether an answer consists of events; one without a content type may."""
+    return content_type.partition(";")[0].strip().lower() in {"", EVENT_STREAM}
 
 
 class ServerEvent(msgspec.Struct, frozen=True):
@@ -12,11 +25,13 @@
     :param raw: its bytes as received, including the blank line.
     :param number: its id, or ``NO_NUMBER`` if it has no numeric id.
     :param data: the text of its data lines.
+    :param is_empty: whether it has no content: only comments or the retry time.
     """
 
     raw: bytes
     number: int
     data: str
+    is_empty: bool = False
 
 
 class EventSplitter:
@@ -30,33 +45,32 @@
         """The bytes after the last complete event."""
         return self._buffer
 
+    @property
+    def is_inside_event(self) -> bool:
+        """True if those bytes begin an event; comment lines begin none."""
+        return any(line and not line.startswith(b":") for line in self._buffer.splitlines())
+
     def feed(self, data: bytes) -> list[ServerEvent]:
         """Adds bytes and returns the events that are complete now."""
         self._buffer += data
         events = []
-        while (end := self._event_end()) > 0:
-            events.append(parse_event(self._buffer[:end]))
-            self._buffer = self._buffer[end:]
+        while (match := EVENT_END.search(self._buffer)) is not None:
+            events.append(parse_event(self._buffer[: match.end()]))
+            self._buffer = self._buffer[match.end() :]
         return events
 
-    def _event_end(self) -> int:
-        ends = [
-            position + len(separator)
-            for separator in EVENT_SEPARATORS
-            if (position := self._buffer.find(separator)) >= 0
-        ]
-        return min(ends, default=-1)
-
 
 def parse_event(raw: bytes) -> ServerEvent:
     """Parses one complete event."""
     number = NO_NUMBER
     data = []
-    for line in raw.decode("utf-8", "replace").splitlines():
+    is_empty = True
+    for line in LINE_END.split(raw.decode("utf-8", "replace")):
         name, _, value = line.partition(":")
+        is_empty = is_empty and name in EMPTY_FIELDS
         value = value.removeprefix(" ")
-        if name == "id" and value.isdigit():
+        if name == "id" and value.isascii() and value.isdigit():
             number = int(value)
         elif name == "data":
             data.append(value)
-    return ServerEvent(raw, number, "\n".join(data))
+    return ServerEvent(raw, number, "\n".join(data), is_empty)
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -15,7 +15,7 @@
 from verbenashore.client import GroupClient
 from verbenashore.directory import BackendEntry, Directory
 from verbenashore.dispatch import Dispatcher, Ticket, Verdict
-from verbenashore.events import NO_NUMBER, EventSplitter
+from verbenashore.events import NO_NUMBER, EventSplitter, ServerEvent, is_event_stream
 from verbenashore.exceptions import (
     BackendError,
     BackendReplacedError,
@@ -123,6 +123,7 @@
         counting those that reached another server than the chosen one.
     :param refused_by: the servers of those attempts.
     :param last_event: the number of the last event that the caller has.
+    :param unnumbered: the caller has an event without a number.
     :param first_sent_at: when the first bytes were sent to the caller.
     :param last_sent_at: when the latest bytes were sent to the caller.
     :param longest_pause: the longest time between two sends to the caller, in seconds.
@@ -142,6 +143,7 @@
     refusals: int = 0
     refused_by: set[BackendName] = msgspec.field(default_factory=set)
     last_event: int | None = None
+    unnumbered: bool = False
     first_sent_at: float | None = None
     last_sent_at: float = 0.0
     longest_pause: float = 0.0
@@ -180,6 +182,8 @@
     @property
     def is_last_attempt(self) -> bool:
         """True if the call may not run again after the runs counted so far."""
+        if self.unnumbered and self.last_event is None:
+            return True
         return not self.route.repeatable or self.runs >= self.route.max_attempts
 
 
@@ -662,6 +666,11 @@
                 self._load_reporter.mark_changed()
 
     async def _relay_whole_response(self, relay: Relay, opened: OpenCall) -> None:
+        head = opened.head
+        if relay.respond.started:
+            raise BackendError(
+                f"status {head.status} when resuming the stream", step="head", peer=""
+            )
         relay.set_step(Step.BODY, self._clock())
         parts = []
         async for part in opened.parts():
@@ -670,13 +679,8 @@
                 self._record_begun(relay)
             parts.append(part)
         body = b"".join(parts)
-        head = opened.head
         if head.status >= 500 and not relay.is_last_attempt:
             raise BackendError(f"status {head.status}", step="head", peer="")
-        if relay.respond.started:
-            raise BackendError(
-                f"status {head.status} when resuming the stream", step="head", peer=""
-            )
         if head.status in NOT_RUN_STATUSES:
             raise BackendError(
                 f"status {head.status} without a statement that the call was not run",
@@ -689,16 +693,26 @@
         )
 
     async def _relay_stream(self, relay: Relay, opened: OpenCall) -> None:
+        has_events = is_event_stream(opened.exchange.content_type)
+        if relay.route.resumable and not has_events:
+            await self._relay_whole_response(relay, opened)
+            return
         relay.set_step(Step.EVENTS, self._clock())
         pause = relay.route.pause or DEFAULT_PAUSE_SECONDS
         splitter = EventSplitter()
         resumable = relay.route.resumable
+        resumed = relay.respond.started
+        has_content = False
         async for part in opened.parts():
             relay.received_at = self._clock()
-            self._record_begun(relay)
-            if not relay.is_last_attempt:
-                opened.exchange.set_read_timeout(pause * STALL_SHARE)
-            data = self._complete_events(relay, splitter, part) if resumable else part
+            events = splitter.feed(part) if has_events else []
+            has_content = has_content or any(not event.is_empty for event in events)
+            if has_content or not has_events:
+                self._record_begun(relay)
+            data = self._join_events(relay, events, resumed=resumed) if resumable else part
+            opened.exchange.set_read_timeout(
+                relay.route.timeout if relay.is_last_attempt else pause * STALL_SHARE
+            )
             if not data:
                 continue
             if not relay.respond.started:
@@ -707,26 +721,41 @@
                 )
             relay.record_bytes_sent(self._clock())
             await relay.respond.send_chunk(data)
-        if resumable and splitter.partial.strip():
+        if splitter.is_inside_event:
             raise BackendError("the stream ended inside an event", step="events", peer="")
+        if has_events and not has_content and not opened.exchange.framed:
+            raise BackendError("the connection closed before an event", step="events", peer="")
         if not relay.respond.started:
             await relay.respond.start_stream_with_headers(opened.head.status, opened.head.headers)
+        if resumable and splitter.partial:
+            await relay.respond.send_chunk(splitter.partial)
         await relay.respond.end_stream()
 
-    def _complete_events(self, relay: Relay, splitter: EventSplitter, part: bytes) -> bytes:
-        """Returns the events that these bytes complete; their numbers must be consecutive."""
-        events = []
-        for event in splitter.feed(part):
+    @staticmethod
+    def _join_events(relay: Relay, events: list[ServerEvent], *, resumed: bool) -> bytes:
+        """Returns the bytes of the next events; their numbers must be consecutive.
+
+        :param resumed: whether the stream was begun by another server; each of these events must
+            then have a number, since its place in the stream is unknown without.
+        """
+        last = relay.last_event
+        unnumbered = relay.unnumbered
+        for event in events:
             if event.number != NO_NUMBER:
-                if relay.last_event is not None and event.number != relay.last_event + 1:
+                if last is not None and event.number != last + 1:
+                    raise BackendError(
+                        f"event {event.number} after event {last}", step="events", peer=""
+                    )
+                last = event.number
+            elif not event.is_empty:
+                if resumed:
                     raise BackendError(
-                        f"event {event.number} after event {relay.last_event}",
-                        step="events",
-                        peer="",
+                        f"event without a number after event {last}", step="events", peer=""
                     )
-                relay.last_event = event.number
-            events.append(event.raw)
-        return b"".join(events)
+                unnumbered = True
+        # If one doesn't fit, none of them is sent, so none of them counts.
+        relay.last_event, relay.unnumbered = last, unnumbered
+        return b"".join(event.raw for event in events)
 
     async def _refresh_stale_list(self) -> None:
         """Reads the backend list at its source while no list is known or the known one is stale."""
