Take a crash within an answer without a length for a crash

What callers saw: nothing yet. A server that crashes after the head of an answer that has neither a length nor chunks closes it like one that ends; the failure then has the step "events", for which no crash was looked for. With such streams no part would ever be held. Evidence: the new test, before: "assert [] == [('a', 'own')]" without framing; with chunks it passed.

--- a/tests/test_relayed.py
+++ b/tests/test_relayed.py
@@ -605,3 +605,30 @@
     )
     assert error is None and told == [None, 1, 1] and responder.body == event(1) + event(2)
     assert time.monotonic() - started < 1.5
+
+
+@pytest.mark.parametrize("framing", [b"", b"transfer-encoding: chunked\r\n"])
+def test_a_crash_in_an_answer_without_a_length_is_evidence_against_the_prompt(framing):
+    """Guards against unframed answers, whose early end looks like an end."""
+
+    async def play():
+        async def serve(reader, writer):
+            with contextlib.closing(writer):
+                await reader.readuntil(b"\r\n\r\n")
+                listener.close()
+                head = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+                writer.write(head + framing + b"\r\n")
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = listener.sockets[0].getsockname()
+        async with gateway(dialect=wire.DIALECT) as entry:
+            server = BackendEntry("b", "s", f"{host}:{port}", "d", 4, False)
+            entry._list_updater.install([server], entry._clock())
+            headers = [(b"x-verbenashore-prompt-prefix", b"a:1,own:1")]
+            call = Call("c", "h", "GET", "/l/x", "/l/x", headers, b"", 5.0)
+            route = Route("r", "h", "/l/", RouteKind.STREAM, 5.0, 5.0, (Share("s", 1),))
+            with pytest.raises(OutcomeUnknownError):
+                await entry.relay(call, route, RecordingResponder())
+            return [crash.prompt for crash in entry._quarantine.evidence().crashes]
+
+    assert asyncio.run(play()) == [("a", "own")]
--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -22,8 +22,9 @@
 #: Timeout of the connection that tells a crashed server from one that only broke a connection.  The
 #: port of a crashed one is closed, and refuses within a round trip.
 CRASH_CHECK_SECONDS = 0.05
-#: Steps of the errors of a connection that was established and then broken.
-BROKEN_STEPS = frozenset({"answer", "body", "exchange"})
+#: Steps of the errors of a connection that was established and then ended too early.  An answer
+#: without a length ends with its connection, so only its events show that.
+BROKEN_STEPS = frozenset({"answer", "body", "events", "exchange"})
 
 
 class Call(msgspec.Struct):
