Survive evidence that no member of this build would send

What callers saw: nothing yet. A crash without parts, from another build or a damaged datagram, raised IndexError at every judgement for 60 s, at all members. With 32 holds that end later, a new hold was dropped at once and the judgement never ended. Change: a crash without parts is ignored; the newest hold is never the one that is dropped. Evidence: the two tests; before: IndexError, and a timeout.

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -7,8 +7,12 @@
 from verbenashore.quarantine import (
     HOLD_SECONDS,
     MAX_CRASHES,
+    MAX_HOLDS,
     MIN_INCIDENTS,
     PROMPT_HOLD_SECONDS,
+    Crash,
+    Evidence,
+    Hold,
     Quarantine,
 )
 
@@ -268,3 +272,22 @@
     for n in range(MIN_INCIDENTS):
         crash(quarantine, clock, "s", f"a{n}", "bad", f"own-{n}")
     assert quarantine.held_parts == ["bad"]
+
+
+def test_a_crash_without_a_prompt_from_another_member_is_ignored(clock):
+    quarantine = Quarantine(clock)
+    assert not quarantine.merge(Evidence([Crash("s", (), clock.now)]))
+    for n in range(MIN_INCIDENTS):
+        crash(quarantine, clock, f"s{n}", "bad", f"own-{n}")
+    assert quarantine.held_parts == ["bad"]
+
+
+def test_a_new_hold_is_kept_beside_many_longer_ones(clock):
+    """Guards against a judgement that never ends, since each hold it makes is dropped at once."""
+    quarantine = Quarantine(clock)
+    long_hold = Hold(clock.now, clock.now + 10 * HOLD_SECONDS, 4, False)
+    quarantine.merge(Evidence(hold_by_part={f"old-{n}": long_hold for n in range(MAX_HOLDS)}))
+    for n in range(MIN_INCIDENTS):
+        crash(quarantine, clock, f"s{n}", "bad", f"own-{n}")
+    assert "bad" in quarantine.held_parts
+    assert len(quarantine.evidence().hold_by_part) == MAX_HOLDS
--- a/verbenashore/quarantine.py
+++ b/verbenashore/quarantine.py
@@ -219,6 +219,8 @@
     def _is_new_crash(self, crash: Crash) -> bool:
         if crash in self._crashes or crash.at < self._clock() - CRASH_SECONDS:
             return False
+        if not crash.prompt:
+            return False
         is_full = len(self._crashes) >= MAX_CRASHES
         return not is_full or crash.at > min(known.at for known in self._crashes)
 
@@ -261,8 +263,8 @@
         if not was_held and self._is_held(part, self._clock()):
             self._on_change(part, hold)
         if len(self._hold_by_part) > MAX_HOLDS:
-            first = min(self._hold_by_part, key=lambda part: self._hold_by_part[part].until)
-            del self._hold_by_part[first]
+            others = self._hold_by_part.keys() - {part}
+            del self._hold_by_part[min(others, key=lambda other: self._hold_by_part[other].until)]
 
     def _judge(self) -> None:
         """Holds the parts that explain the crashes, and the prompts that met several.
