Judge a part that an answer has cleared like any other known part

What callers saw: nothing yet. A part that was held once needed one crash to be held again, also after an answer had begun with it. A part shared by all prompts of a route, held once by error, was held by the next plain crash for twice as long. Change: an answer after the hold brings the usual numbers back; the next hold is still longer than the one before.

--- a/verbenashore/quarantine.py
+++ b/verbenashore/quarantine.py
@@ -33,7 +33,7 @@
 #: the cause.
 MIN_INCIDENTS_OF_PROMPT = 2
 #: Seconds for which a part and a single prompt are held at first.  After that, one more crash holds
-#: them again for twice as long.
+#: them again for twice as long, unless an answer has begun in between.
 HOLD_SECONDS = 60.0
 PROMPT_HOLD_SECONDS = 5.0
 MAX_HOLD_SECONDS = 3600.0
@@ -209,8 +209,7 @@
         return [part for part in self._hold_by_part if self._is_held(part, now)]
 
     def _is_held(self, part: PromptPart, now: float) -> bool:
-        hold = self._hold_by_part[part]
-        return now < hold.until and not self._is_sound(part, hold.at)
+        return self._has_former_hold(part) and now < self._hold_by_part[part].until
 
     def _is_sound(self, part: PromptPart, at: float) -> bool:
         """Returns whether an answer has begun with a part at or after the given time."""
@@ -280,7 +279,7 @@
         for prompt, crashes in by_prompt.items():
             own = prompt[-1]
             relevant = self._relevant(own, crashes)
-            required = 1 if own in self._hold_by_part else MIN_INCIDENTS_OF_PROMPT
+            required = 1 if self._has_former_hold(own) else MIN_INCIDENTS_OF_PROMPT
             if _incidents(relevant) >= required:
                 self._hold(own, PROMPT_HOLD_SECONDS, is_prompt=True)
 
@@ -311,20 +310,26 @@
                 ranks.append((not is_known, len(prompts), len(relevant), position, part))
         return max(ranks)[-1] if ranks else None
 
+    def _has_former_hold(self, part: PromptPart) -> bool:
+        """Returns whether a part was held and no answer with it has begun since."""
+        hold = self._hold_by_part.get(part)
+        return hold is not None and not self._is_sound(part, hold.at)
+
     def _required_incidents(self, part: PromptPart) -> int:
-        if part in self._hold_by_part:
+        if self._has_former_hold(part):
             return 1
         return MIN_INCIDENTS_IF_KNOWN if part in self._known_parts else MIN_INCIDENTS
 
     def _required_prompts(self, part: PromptPart) -> int:
-        if part in self._hold_by_part:
+        if self._has_former_hold(part):
             return 1
         return MIN_PROMPTS_IF_KNOWN if part in self._known_parts else MIN_PROMPTS
 
     def _relevant(self, part: PromptPart, crashes: list[Crash]) -> list[Crash]:
         """Returns the crashes since an answer with the part began, and since its last hold."""
-        hold = self._hold_by_part.get(part)
-        after = hold.until if hold is not None else float("-inf")
+        after = float("-inf")
+        if self._has_former_hold(part):
+            after = self._hold_by_part[part].until
         return [
             crash for crash in crashes if crash.at > after and not self._is_sound(part, crash.at)
         ]
@@ -338,8 +343,7 @@
         ]
 
     def _explains(self, part: PromptPart, at: float) -> bool:
-        hold = self._hold_by_part.get(part)
-        return hold is not None and at <= hold.until and not self._is_sound(part, hold.at)
+        return self._has_former_hold(part) and at <= self._hold_by_part[part].until
 
     def _expire(self) -> None:
         """Forgets old crashes and holds, and when parts were sound that neither of them names."""
