Try a part again with one call at a time after its hold

What callers saw: nothing yet. When a hold ended, all calls and items with the part went out at once: in the review's play 20 items ran on 6 servers within a millisecond. Change: after a hold a member sends one call with the part every 2 s, until an answer clears it or a crash holds it for twice as long. Open: each member makes its own trial, so callers that all come back when the hold ends can crash one server for each entry. Evidence: test_after_a_hold_one_call_at_a_time_tries_the_part (the method is new, so red before).

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -11,6 +11,7 @@
     MIN_INCIDENTS,
     MIN_INCIDENTS_IF_KNOWN,
     PROMPT_HOLD_SECONDS,
+    TRIAL_SECONDS,
     Crash,
     Evidence,
     Hold,
@@ -305,3 +306,19 @@
         crash(quarantine, clock, f"s{n}", "bad", f"own-{n}")
     assert "bad" in quarantine.held_parts
     assert len(quarantine.evidence().hold_by_part) == MAX_HOLDS
+
+
+def test_after_a_hold_one_call_at_a_time_tries_the_part(clock):
+    """Guards against a burst of calls or items that all start when a hold ends."""
+    quarantine = Quarantine(clock)
+    for n in range(MIN_INCIDENTS):
+        crash(quarantine, clock, f"s{n}", "bad", f"own-{n}")
+    clock.now += HOLD_SECONDS
+    assert quarantine.held_part(("bad", "first")) is None
+    quarantine.record_start(("bad", "first"))
+    assert quarantine.held_part(("bad", "second")) == ("bad", TRIAL_SECONDS)
+    clock.now += TRIAL_SECONDS
+    assert quarantine.held_part(("bad", "second")) is None
+    quarantine.record_start(("bad", "second"))
+    quarantine.record_answer(("bad", "second"))
+    assert quarantine.held_part(("bad", "third")) is None
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -498,6 +498,7 @@
             relay.set_server(server.name, Step.CONNECT, placed_at)
             try:
                 self._refuse_held(relay)
+                self._quarantine.record_start(relay.prompt)
                 await self._attempt_call(relay, server)
                 self._dispatcher.record_success(server.name)
                 return
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -375,6 +375,7 @@
         run = Run(key, job.items[key[1]].spec.id, server)
         self._run_by_key[key] = run
         progress.record_start(self._clock())
+        self._quarantine.record_start(progress.prompt)
         self._load_table.add(server.name, batch=1)
         self._on_load_change()
         logs.info(
--- a/verbenashore/quarantine.py
+++ b/verbenashore/quarantine.py
@@ -37,6 +37,8 @@
 HOLD_SECONDS = 60.0
 PROMPT_HOLD_SECONDS = 5.0
 MAX_HOLD_SECONDS = 3600.0
+#: Seconds between two trials of a part at one member after its hold, until an answer clears it.
+TRIAL_SECONDS = 2.0
 #: Seconds after the end of a hold for which the next one of the same part is longer.
 HOLD_MEMORY_SECONDS = 600.0
 #: Seconds for which a crash counts.
@@ -107,6 +109,7 @@
         self._crashes: dict[Crash, None] = {}
         self._hold_by_part: dict[PromptPart, Hold] = {}
         self._sound_at_by_part: dict[PromptPart, float] = {}
+        self._tried_at_by_part: dict[PromptPart, float] = {}
         self._suspected_at_by_part: dict[PromptPart, float] = {}
         # In the order of the latest answers.
         self._known_parts: dict[PromptPart, None] = {}
@@ -174,19 +177,34 @@
         )
 
     def held_part(self, prompt: Prompt) -> tuple[PromptPart, float] | None:
-        """Returns the first held part of a prompt, and the seconds until its hold ends."""
+        """Returns the first held part of a prompt, and the seconds until it may be tried.
+
+        After its hold a part is tried by one call at a time.
+        """
         if not self._hold_by_part:
             return None
         now = self._clock()
         return next(
             (
-                (part, self._hold_by_part[part].until - now)
+                (part, end - now)
                 for part in prompt
-                if part in self._hold_by_part and self._is_held(part, now)
+                if self._has_former_hold(part) and (end := self._next_trial_at(part)) > now
             ),
             None,
         )
 
+    def record_start(self, prompt: Prompt) -> None:
+        """Records that a call is sent to a server; it is the trial of its parts that were held."""
+        if self._hold_by_part:
+            now = self._clock()
+            self._tried_at_by_part.update(
+                (part, now) for part in prompt if self._has_former_hold(part)
+            )
+
+    def _next_trial_at(self, part: PromptPart) -> float:
+        next_trial_at = self._tried_at_by_part.get(part, float("-inf")) + TRIAL_SECONDS
+        return max(self._hold_by_part[part].until, next_trial_at)
+
     def is_suspected(self, prompt: Prompt) -> bool:
         """Returns whether a prompt shares an unknown part with another one that met a crash.
 
@@ -363,7 +381,11 @@
         named = self._hold_by_part.keys() | {
             part for crash in self._crashes for part in crash.prompt
         }
-        for by_part in (self._sound_at_by_part, self._suspected_at_by_part):
+        for by_part in (
+            self._sound_at_by_part,
+            self._suspected_at_by_part,
+            self._tried_at_by_part,
+        ):
             for part in by_part.keys() - named:
                 del by_part[part]
 
