Keep the retry of a suspected call whose server has not crashed

What callers saw: nothing yet. A call that shared an unknown part with someone else's crash lost its second server by any failure, such as a stall, and ended with 502. Change: only a crash under the call itself does that now. Evidence: test_a_suspected_call_whose_server_only_stalls_moves_on; before: OutcomeUnknownError, "timed out waiting for more data".

--- a/tests/test_relayed.py
+++ b/tests/test_relayed.py
@@ -632,3 +632,35 @@
             return [crash.prompt for crash in entry._quarantine.evidence().crashes]
 
     assert asyncio.run(play()) == [("a", "own")]
+
+
+def test_a_suspected_call_whose_server_only_stalls_moves_on():
+    """Guards sound calls that share a part with one crash, and lost their retry by any failure."""
+
+    async def play():
+        runs = []
+
+        async def serve(reader, writer):
+            with contextlib.closing(writer):
+                await reader.readuntil(b"\r\n\r\n")
+                runs.append(writer)
+                if len(runs) == 1:
+                    await asyncio.sleep(5.0)
+                writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = listener.sockets[0].getsockname()
+        async with listener, gateway(dialect=wire.DIALECT) as entry:
+            servers = [BackendEntry(f"b{n}", "s", f"{host}:{port}", "d", 4, False) for n in (1, 2)]
+            entry._list_updater.install(servers, entry._clock())
+            entry._quarantine.record_crash("other", ("a", "own-1"))
+            headers = [(b"x-verbenashore-prompt-prefix", b"a:1,own-2:1")]
+            call = Call("c", "h", "GET", "/l/x", "/l/x", headers, b"", 5.0)
+            route = Route(
+                "r", "h", "/l/", RouteKind.REPEATABLE, 5.0, 0.5, (Share("s", 1),), max_attempts=2
+            )
+            responder = RecordingResponder()
+            await entry.relay(call, route, responder)
+            return responder.status
+
+    assert asyncio.run(play()) == 200
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -503,13 +503,12 @@
                 self._dispatcher.record_success(server.name)
                 return
             except BackendError as error:
-                await self._check_for_crash(relay, server, error)
+                has_crashed = await self._check_for_crash(relay, server, error)
                 self._record_failure(relay, server, error)
                 if relay.respond.started and relay.is_last_attempt:
                     raise ConnectionResetError(error.message) from error
-                if not error.not_run and (
-                    relay.is_last_attempt or self._quarantine.is_suspected(relay.prompt)
-                ):
+                is_suspected = has_crashed and self._quarantine.is_suspected(relay.prompt)
+                if not error.not_run and (relay.is_last_attempt or is_suspected):
                     raise OutcomeUnknownError(
                         error.message, step=error.step, peer=server.name
                     ) from error
@@ -535,15 +534,17 @@
 
     async def _check_for_crash(
         self, relay: Relay, server: BackendEntry, error: BackendError
-    ) -> None:
+    ) -> bool:
+        """Records a crash of the server before it began to answer; returns whether it was one."""
         if relay.begun or not await backendcall.has_crashed(server, error):
-            return
+            return False
         self._process.metrics.count("backend_crashed")
         logs.warning(
             Event.BACKEND_CRASHED, server=server.name, call=relay.call.id, prompt=relay.prompt
         )
         self._quarantine.record_crash(server.name, relay.prompt)
         self._load_reporter.mark_changed()
+        return True
 
     def _record_failure(self, relay: Relay, server: BackendEntry, error: BackendError) -> None:
         now = self._clock()
--- a/verbenashore/quarantine.py
+++ b/verbenashore/quarantine.py
@@ -208,7 +208,7 @@
     def is_suspected(self, prompt: Prompt) -> bool:
         """Returns whether a prompt shares an unknown part with another one that met a crash.
 
-        A call with such a prompt that failed must not run on a second server.
+        A call with such a prompt whose server crashed must not run on a second server.
         """
         unknown_parts = set(prompt[:-1]) - self._known_parts.keys()
         return any(
