Log which leader confirmed a version, and what a ledger process keeps

An entry's 404 could not be told apart by cause: the line lacked who answered the last heartbeat, in which term, and its age by a clock that goes on during a suspension. A store that ends for its memory left no word of what it held. No logic is changed.

--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics: the limit on names, and the Prometheus text format."""
+"""Metrics: the limit on names, gauges, and the Prometheus text format."""
 
 from verbenashore import metrics
 from verbenashore.metrics import Metrics
@@ -23,3 +23,12 @@
     assert len(process_metrics.report()["counters"]) == 6
     assert process_metrics.report()["counters"]["other"] == 45
     assert len(process_metrics.report()["histograms_ms"]) == 6
+
+
+def test_a_gauge_shows_its_current_value():
+    process_metrics = Metrics("p", ())
+    waiting = [1]
+    process_metrics.set_gauge("waiting", lambda: waiting[0])
+    waiting[0] = 7
+    assert 'verbena_value{name="waiting"} 7' in process_metrics.as_text()
+    assert process_metrics.report()["gauges"] == {"waiting": 7}
--- a/verbenashore/client.py
+++ b/verbenashore/client.py
@@ -121,6 +121,11 @@
         self._leader = addresses[0]
         self._timed_out_at: dict[str, float] = {}
 
+    @property
+    def leader(self) -> str:
+        """The address of the replica that answered last, or is to be called next."""
+        return self._leader
+
     def add_addresses(self, addresses: list[str]) -> None:
         """Adds ledger processes that may run a replica."""
         self._addresses += [address for address in addresses if address not in self._addresses]
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -320,7 +320,7 @@
                     while self._route_uncertainty(host, path):
                         changed = self._routes_changed
                         await changed.wait()
-        versions = {"version": self.routes.table.version, "newest": self._view.newest_revision}
+        versions = {"version": self.routes.table.version, **self._view.confirmation_fields()}
         if reason := self._route_uncertainty(host, path):
             retry_after = (
                 STARTUP_RETRY_SECONDS + STARTUP_RETRY_SPREAD_SECONDS * self._random.random()
--- a/verbenashore/ledger.py
+++ b/verbenashore/ledger.py
@@ -6,6 +6,7 @@
 import random
 import sys
 from collections.abc import Callable, Sequence
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -271,6 +272,7 @@
             self.on_packet,
         )
         self._process.start_task(server.run())
+        self._set_gauges(server)
         for address in self._settings.health:
             self._process.start_task(process.serve_health(self._process, str(address)))
         for group, runner in self._runner_by_group.items():
@@ -285,6 +287,13 @@
         logs.info(Event.STOPPING)
         await self._hand_over()
 
+    def _set_gauges(self, server: Server) -> None:
+        gauges = self._process.metrics
+        gauges.set_gauge("open_calls", lambda: server.open_calls)
+        for group, runner in self._runner_by_group.items():
+            for name in runner.sizes():
+                gauges.set_gauge(f"group_{group}.{name}", partial(_size_of, runner, name))
+
     def add_seeds(self, seeds: list[str]) -> None:
         """Adds addresses of ledger processes that may know the group."""
         self.known_seeds |= set(seeds)
@@ -674,6 +683,10 @@
                 await asyncio.gather(*(runner.leader_known.wait() for runner in led_runners))
 
 
+def _size_of(runner: ReplicaRunner, name: str) -> float:
+    return runner.sizes()[name]
+
+
 def _group_status(group: GroupId, runner: ReplicaRunner) -> GroupStatus:
     membership = consensus.membership(runner.core)
     return GroupStatus(
--- a/verbenashore/link.py
+++ b/verbenashore/link.py
@@ -374,6 +374,11 @@
         self._task_by_call: dict[tuple[bytes, int], asyncio.Task[None]] = {}
         self._received_at_by_peer: dict[bytes, float] = {}
 
+    @property
+    def open_calls(self) -> int:
+        """The number of calls that are being answered."""
+        return len(self._task_by_call)
+
     async def wait_idle(self) -> None:
         """Waits until no call is being answered."""
         while self._task_by_call:
--- a/verbenashore/members.py
+++ b/verbenashore/members.py
@@ -32,6 +32,11 @@
     return MemberTable(version=term * VERSIONS_PER_TERM, complete_at=now + MEMBER_LOST_SECONDS)
 
 
+def term_of(version: int) -> int:
+    """Returns the term of the leader that gave a table a version."""
+    return version // VERSIONS_PER_TERM
+
+
 def record_heartbeat(
     table: MemberTable, heartbeat: Heartbeat, change: Change, now: float
 ) -> HeartbeatReply:
--- a/verbenashore/metrics.py
+++ b/verbenashore/metrics.py
@@ -1,6 +1,7 @@
 """Counters and latency histograms, for statsd and for the metrics page."""
 
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 import statsd
@@ -29,6 +30,7 @@
     def __init__(self, process: str, statsd_daemons: tuple[Address, ...]) -> None:
         self._counts: Counter[str] = Counter()
         self._histogram_by_name: dict[str, HdrHistogram] = {}
+        self._gauge_by_name: dict[str, Callable[[], float]] = {}
         self._client = (
             statsd.StatsClient(
                 statsd_daemons[0].host, statsd_daemons[0].port, prefix=f"verbena.{process}"
@@ -57,10 +59,19 @@
         if self._client is not None:
             self._client.timing(name, seconds * 1000)
 
+    def set_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Registers a function that returns the current value of a quantity."""
+        self._gauge_by_name[name] = read
+
+    def gauges(self) -> dict[str, float]:
+        """Returns the current values of all gauges."""
+        return {name: read() for name, read in sorted(self._gauge_by_name.items())}
+
     def report(self) -> dict[str, Any]:
-        """Returns all counters, and the percentiles of all histograms in milliseconds."""
+        """Returns all counters and gauges, and the percentiles of all histograms in ms."""
         return {
             "counters": dict(self._counts),
+            "gauges": self.gauges(),
             "histograms_ms": {
                 name: {
                     "count": histogram.get_total_count(),
@@ -74,12 +85,17 @@
         }
 
     def as_text(self) -> str:
-        """Returns all counters and percentiles in the Prometheus text format."""
+        """Returns all counters, gauges and percentiles in the Prometheus text format."""
         lines = ["# TYPE verbena_events_total counter"]
         lines += [
             f'verbena_events_total{{name="{_escape_label(name)}"}} {count}'
             for name, count in sorted(self._counts.items())
         ]
+        lines.append("# TYPE verbena_value gauge")
+        lines += [
+            f'verbena_value{{name="{_escape_label(name)}"}} {value:g}'
+            for name, value in self.gauges().items()
+        ]
         lines.append("# TYPE verbena_seconds summary")
         for name, histogram in sorted(self._histogram_by_name.items()):
             label = _escape_label(name)
--- a/verbenashore/process.py
+++ b/verbenashore/process.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import gc
+import resource
 import signal
 import sys
 import time
@@ -24,6 +25,10 @@
 EXIT_FAILED = 1
 #: Seconds between attempts to write buffered log lines.
 LOG_FLUSH_SECONDS = 0.25
+#: The largest memory of a process so far is logged when it first exceeds these bytes, and then with
+#: each growth by this factor.  The smallest limit that an instance sets is 128 MB.
+MEMORY_LOG_BYTES = 48 << 20
+MEMORY_LOG_FACTOR = 1.25
 
 
 class Process:
@@ -54,6 +59,7 @@
         self.links = LinkPool(self.context, self.make_sender, clock)
         self.tasks: set[asyncio.Task[Any]] = set()
         self.metrics = metrics.Metrics(settings.name, settings.statsd)
+        self.metrics.set_gauge("memory_peak_bytes", peak_memory)
         self._failure: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
 
     def make_sender(self) -> Sender:
@@ -162,10 +168,22 @@
     return 0
 
 
-async def _flush_logs(writer: LineWriter) -> None:
-    """Keeps writing the log lines that standard output did not accept when they were logged."""
+def peak_memory() -> float:
+    """Returns the largest resident memory of this process so far, in bytes."""
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024.0
+
+
+async def _flush_logs(process: Process, writer: LineWriter) -> None:
+    """Keeps writing the log lines that standard output did not accept when they were logged.
+
+    Also logs that the memory of the process has grown, with what the process keeps.
+    """
+    logged_bytes = MEMORY_LOG_BYTES / MEMORY_LOG_FACTOR
     while True:
         await asyncio.sleep(LOG_FLUSH_SECONDS)
+        if peak_memory() >= logged_bytes * MEMORY_LOG_FACTOR:
+            logged_bytes = peak_memory()
+            logs.warning(Event.MEMORY_GREW, **process.metrics.gauges())
         writer.flush()
 
 
@@ -181,7 +199,7 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, process.stopping.set)
-    process.start_task(_flush_logs(writer))
+    process.start_task(_flush_logs(process, writer))
     logs.info(Event.STARTED, incarnation=process.incarnation, version=__version__)
     try:
         await program(process)
--- a/verbenashore/replica.py
+++ b/verbenashore/replica.py
@@ -163,6 +163,15 @@
             self._clock_base = self._clock()
         return self._time_base + self._clock() - self._clock_base
 
+    def sizes(self) -> dict[str, int]:
+        """Returns what this replica keeps in memory: bytes, and numbers of messages."""
+        return {
+            "log_bytes": sum(len(entry.data) for entry in self.core.entries),
+            "snapshot_bytes": len(self.core.snapshot.data),
+            "inbox": self._inbox.qsize(),
+            "proposals": len(self._pending_by_index),
+        }
+
     def check_serving(self) -> None:
         """Raises an error unless this replica may answer calls now.
 
--- a/verbenashore/view.py
+++ b/verbenashore/view.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from verbenashore import deployment, logs
+from verbenashore import deployment, logs, members
 from verbenashore.client import ATTEMPT_SECONDS, GroupClient
 from verbenashore.control import Change, decode_change
 from verbenashore.exceptions import DeploymentError, VerbenaError
@@ -35,6 +35,9 @@
     :param change: the change that created the revision in force here; None before the first.
     :param confirmed_at: when the newest answered heartbeat was sent, on the process's clock;
         negative infinity before the first.
+    :param confirmed_unix_at: the same as a Unix time, which goes on while the machine is suspended.
+    :param confirmed_by: the address of the leader that answered it.
+    :param confirmed_term: the term of that leader.
     :param newest_revision: the newest revision that a leader has reported.
     :param deployment: the configuration in force here, as returned by ``parse``.
     """
@@ -61,6 +64,9 @@
         self._wake = asyncio.Event()
         self.state = MemberState.SERVING
         self.confirmed_at = float("-inf")
+        self.confirmed_unix_at = float("-inf")
+        self.confirmed_by = ""
+        self.confirmed_term = 0
         self.change: Change | None = None
         self._parse = parse
         self._attempt_seconds = attempt_seconds
@@ -85,6 +91,16 @@
         fresh = self._process.clock() - self.confirmed_at < FRESH_SECONDS
         return fresh and self.revision >= self.newest_revision
 
+    def confirmation_fields(self) -> dict[str, object]:
+        """Returns by whom and when the newest revision was last confirmed, as log fields."""
+        return {
+            "newest": self.newest_revision,
+            "confirmed_by": self.confirmed_by,
+            "confirmed_term": self.confirmed_term,
+            "confirmed_age": _rounded(self._process.clock() - self.confirmed_at),
+            "confirmed_unix_age": _rounded(self._process.unix_clock() - self.confirmed_unix_at),
+        }
+
     def set_state(self, state: MemberState) -> None:
         """Changes the state that this member reports, and sends a heartbeat at once."""
         self.state = state
@@ -112,14 +128,15 @@
 
     async def send_heartbeat(self) -> None:
         """Sends one heartbeat, and starts to fetch the new versions that its answer reports."""
-        sent_at = self._process.clock()
+        sent_at, sent_unix_at = self._process.clock(), self._process.unix_clock()
         heartbeat = Heartbeat(self._describe_member())
         reply = await self._control.ask(
             heartbeat, HEARTBEAT_TIMEOUT_SECONDS, attempt_seconds=self._attempt_seconds
         )
         if not isinstance(reply, HeartbeatReply):
             raise VerbenaError("unexpected answer", step="heartbeat")
-        self.confirmed_at = sent_at
+        self.confirmed_at, self.confirmed_unix_at = sent_at, sent_unix_at
+        self._record_leader(members.term_of(reply.members_version), reply)
         if self._control_lost:
             self._control_lost = False
             logs.info(Event.CONTROL_REGAINED, revision=self.revision)
@@ -133,6 +150,19 @@
         self.fetcher.request_version(Document.MEMBERS, reply.members_version)
         self.fetcher.request_version(Document.BACKENDS, reply.backends_version)
 
+    def _record_leader(self, term: int, reply: HeartbeatReply) -> None:
+        leader = self._control.leader
+        if (leader, term) != (self.confirmed_by, self.confirmed_term):
+            logs.info(
+                Event.LEADER_CHANGED,
+                leader=leader,
+                term=term,
+                revision=reply.revision,
+                former=self.confirmed_by,
+                former_term=self.confirmed_term,
+            )
+        self.confirmed_by, self.confirmed_term = leader, term
+
     def _record_control_lost(self, error: VerbenaError) -> None:
         if not self._control_lost:
             age = round(self._process.clock() - self.confirmed_at, 3)
@@ -189,3 +219,8 @@
     def _notify(self) -> None:
         for callback in self.on_change:
             callback()
+
+
+def _rounded(seconds: float) -> float | None:
+    """Returns an age for the logs; None for that of something that never was."""
+    return None if seconds == float("inf") else round(seconds, 3)
