Show that a version is confirmed by answers that are too old

Two ways to the 404 of the report that were found by reading: a confirmation whose age is counted on a clock that stops while the machine is suspended, and an answer of a leader that has been replaced.

--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -1,4 +1,4 @@
-"""Heartbeats and documents of a member behind a slow line."""
+"""Heartbeats and documents of a member behind a slow line, and what confirms a version."""
 
 import argparse
 import asyncio
@@ -6,12 +6,15 @@
 import random
 import time
 
+import pytest
+
 from standins.relay import Line, Relay
 from tests.platforms import own_address
-from verbenashore import ledger
+from verbenashore import ledger, members
 from verbenashore.client import GroupClient
 from verbenashore.control import ApplyChange
-from verbenashore.messages import ReadHistory
+from verbenashore.exceptions import UnavailableError
+from verbenashore.messages import HeartbeatReply, ReadHistory
 from verbenashore.process import Process
 from verbenashore.settings import parse_address
 from verbenashore.types import CONTROL_GROUP, BackendName, MemberRole
@@ -150,3 +153,69 @@
             assert longest < FRESH_SECONDS
 
     asyncio.run(check())
+
+
+class AnsweringGroup:
+    """Stands in for the client of a control group whose leader gives set answers."""
+
+    leader = "127.0.0.1:1"
+
+    def __init__(self, *replies):
+        self.replies = list(replies)
+
+    async def ask(self, *_args, **_kwargs):
+        """Returns the next answer."""
+        return self.replies.pop(0)
+
+    def set_addresses(self, addresses):
+        """Ignores the addresses of the replicas."""
+
+
+def view_of(process, group):
+    """Returns a view that is updated by the answers of a group."""
+    return SystemView(
+        process, group, MemberRole.ENTRY, "127.0.0.1:1", BackendName(""), lambda text: text
+    )
+
+
+def reply_in_term(term, revision):
+    """Returns an answer to a heartbeat."""
+    return HeartbeatReply(revision, members.new_table(term, 0.0).version)
+
+
+def test_a_confirmation_from_before_a_suspension_of_the_machine_is_not_fresh(monkeypatch):
+    async def check():
+        process = Process(settings("entry-0"))
+        view = view_of(process, AnsweringGroup(reply_in_term(3, 0)))
+        try:
+            await view.send_heartbeat()
+            assert view.is_current()
+            read_clock = time.clock_gettime
+            suspended = {time.CLOCK_BOOTTIME: 2 * FRESH_SECONDS}
+            monkeypatch.setattr(
+                time, "clock_gettime", lambda clock: read_clock(clock) + suspended.get(clock, 0.0)
+            )
+            assert not view.is_current()
+        finally:
+            await process.close()
+
+    asyncio.run(check())
+
+
+def test_an_answer_of_an_earlier_leader_confirms_nothing():
+    async def check():
+        process = Process(settings("entry-0"))
+        group = AnsweringGroup(reply_in_term(5, 0), reply_in_term(4, 0), reply_in_term(5, 0))
+        view = view_of(process, group)
+        try:
+            await view.send_heartbeat()
+            view.confirmed_at = float("-inf")
+            with pytest.raises(UnavailableError):
+                await view.send_heartbeat()
+            assert not view.is_current()
+            await view.send_heartbeat()
+            assert view.is_current()
+        finally:
+            await process.close()
+
+    asyncio.run(check())
