--- /dev/null
+++ b/tests/test_bounds.py
@@ -0,0 +1,96 @@
+"""Bounds on what is read from others: what never ends must not fill the memory."""
+
+import asyncio
+import contextlib
+import json
+
+import pytest
+
+from tests.platforms import own_address, wire
+from verbenashore import events, httpclient, httpserver
+from verbenashore.events import EventSplitter
+from verbenashore.exceptions import BackendError
+
+#: More than any limit on the memory of an instance allows a process to hold.
+TOO_MANY_BYTES = 128 << 20
+CHUNK = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
+
+
+@contextlib.asynccontextmanager
+async def endless_server():
+    """Serves responses without an end; yields the address and the list of bytes that were read."""
+    sent = [0]
+
+    async def serve(reader, writer):
+        with contextlib.closing(writer), contextlib.suppress(ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+            while sent[0] < TOO_MANY_BYTES:
+                writer.write(CHUNK)
+                await writer.drain()
+                sent[0] += len(CHUNK)
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    async with server:
+        yield f"{host}:{port}", sent
+
+
+def test_a_list_of_servers_without_an_end_is_given_up_before_it_fills_the_memory():
+    async def check():
+        async with endless_server() as (address, sent):
+            with pytest.raises(BackendError):
+                await wire.list_reader(address)()
+            assert sent[0] < TOO_MANY_BYTES / 4
+
+    asyncio.run(check())
+
+
+def test_a_response_without_an_end_is_given_up_before_it_fills_the_memory():
+    async def check():
+        async with endless_server() as (address, sent):
+            with pytest.raises(BackendError):
+                await httpclient.request(address, "GET", "/", seconds=30.0)
+            assert sent[0] < TOO_MANY_BYTES / 4
+
+    asyncio.run(check())
+
+
+def test_an_event_without_an_end_is_given_up_before_it_fills_the_memory():
+    splitter = EventSplitter()
+    with pytest.raises(BackendError):
+        for _ in range(1 + 2 * events.MAX_EVENT_BYTES // len(CHUNK)):
+            splitter.feed(b"x" * len(CHUNK))
+    assert len(splitter.partial) <= 2 * events.MAX_EVENT_BYTES
+
+
+def test_a_configuration_that_is_too_large_is_refused_before_it_fills_the_memory():
+    async def check():
+        address, stopping = own_address(), asyncio.Event()
+
+        async def never_called(_request, _respond):
+            raise AssertionError("the request has no end")
+
+        serving = asyncio.create_task(
+            httpserver.serve(
+                address, never_called, stopping, server_limits=httpserver.OPERATOR_LIMITS
+            )
+        )
+        await asyncio.sleep(0.1)
+        host, _, port = address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"PUT /config HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n" % TOO_MANY_BYTES
+        )
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 5.0)
+        assert head.startswith(b"HTTP/1.1 413")
+        writer.close()
+        stopping.set()
+        await serving
+
+    asyncio.run(check())
+
+
+def test_a_configuration_of_the_planned_size_is_accepted():
+    largest = json.dumps({"routes": [{"host": "h" * 40, "path_prefix": "/p" * 20}] * 20_000})
+    assert len(largest) < httpserver.OPERATOR_LIMITS.limits.body_bytes
