Count the time in which a machine was suspended

Cause: the clock of a process was time.monotonic, which stops while the machine is suspended. A leader that resumed still held its lease, and an entry that resumed took a confirmation for fresh. Now the clock is CLOCK_BOOTTIME, which goes on, so both have expired by then.

The two tests there that compare with the process's clock read the same one now; their bounds are as before.

--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -15,7 +15,7 @@
 from verbenashore.control import ApplyChange
 from verbenashore.exceptions import UnavailableError
 from verbenashore.messages import HeartbeatReply, ReadHistory
-from verbenashore.process import Process
+from verbenashore.process import Process, elapsed_time
 from verbenashore.settings import parse_address
 from verbenashore.types import CONTROL_GROUP, BackendName, MemberRole
 from verbenashore.view import FRESH_SECONDS, SystemView
@@ -106,10 +106,10 @@
 
 async def wait_for_revision(view, revision, seconds):
     """Waits for a revision; returns the longest time without an answered heartbeat."""
-    longest, end = 0.0, time.monotonic() + seconds
-    while view.revision < revision and time.monotonic() < end:
+    longest, end = 0.0, elapsed_time() + seconds
+    while view.revision < revision and elapsed_time() < end:
         await asyncio.sleep(0.02)
-        longest = max(longest, time.monotonic() - view.confirmed_at)
+        longest = max(longest, elapsed_time() - view.confirmed_at)
     assert view.revision >= revision, f"still at {view.revision}, confirmed {longest:.2f} s ago"
     return longest
 
@@ -147,7 +147,7 @@
             longest = 0.0
             while not history_read.done():
                 await asyncio.sleep(0.02)
-                longest = max(longest, time.monotonic() - view.confirmed_at)
+                longest = max(longest, elapsed_time() - view.confirmed_at)
             history = await history_read
             assert history.changes[0].text == large_text(1)
             assert longest < FRESH_SECONDS
--- a/verbenashore/process.py
+++ b/verbenashore/process.py
@@ -31,6 +31,14 @@
 MEMORY_LOG_FACTOR = 1.25
 
 
+def elapsed_time() -> float:
+    """Returns the seconds since the machine was started, with those in which it was suspended.
+
+    ``time.monotonic`` leaves these out, so that leases and confirmations would outlive them.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Process:
     """A running program and the state that its parts share.
 
@@ -44,7 +52,7 @@
     def __init__(
         self,
         settings: argparse.Namespace,
-        clock: Clock = time.monotonic,
+        clock: Clock = elapsed_time,
         unix_clock: UnixClock = time.time,
     ) -> None:
         self.settings = settings
--- a/verbenashore/types.py
+++ b/verbenashore/types.py
@@ -26,7 +26,7 @@
 
 CONTROL_GROUP = GroupId(0)
 
-#: Returns monotonic time in seconds.
+#: Returns the time in seconds since some moment; it never goes back.
 Clock = Callable[[], float]
 #: Returns the time of day as Unix time in seconds.
 UnixClock = Callable[[], float]
