Ignore the answer of a leader that has been replaced

Cause: an entry took any answered heartbeat for a confirmation, also of a leader whose term is older than that of an answer before. The term stands in the version of the member list, so no message changes; such an answer is now a failed heartbeat.

--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -14,7 +14,7 @@
 from verbenashore.client import GroupClient
 from verbenashore.control import ApplyChange
 from verbenashore.exceptions import UnavailableError
-from verbenashore.messages import HeartbeatReply, ReadHistory
+from verbenashore.messages import Heartbeat, HeartbeatReply, ReadHistory
 from verbenashore.process import Process, elapsed_time
 from verbenashore.settings import parse_address
 from verbenashore.types import CONTROL_GROUP, BackendName, MemberRole
@@ -163,19 +163,28 @@
     def __init__(self, *replies):
         self.replies = list(replies)
 
-    async def ask(self, *_args, **_kwargs):
-        """Returns the next answer."""
+    async def ask(self, body, *_args, **_kwargs):
+        """Returns the next answer to a heartbeat; other calls wait."""
+        if not isinstance(body, Heartbeat):
+            await asyncio.Event().wait()
         return self.replies.pop(0)
 
     def set_addresses(self, addresses):
         """Ignores the addresses of the replicas."""
 
 
-def view_of(process, group):
-    """Returns a view that is updated by the answers of a group."""
-    return SystemView(
+@contextlib.asynccontextmanager
+async def view_of(*replies):
+    """Yields a view that gets the given answers to its heartbeats."""
+    process, group = Process(settings("entry-0")), AnsweringGroup(*replies)
+    view = SystemView(
         process, group, MemberRole.ENTRY, "127.0.0.1:1", BackendName(""), lambda text: text
     )
+    try:
+        yield view
+    finally:
+        await view.fetcher.close()
+        await process.close()
 
 
 def reply_in_term(term, revision):
@@ -185,9 +194,7 @@
 
 def test_a_confirmation_from_before_a_suspension_of_the_machine_is_not_fresh(monkeypatch):
     async def check():
-        process = Process(settings("entry-0"))
-        view = view_of(process, AnsweringGroup(reply_in_term(3, 0)))
-        try:
+        async with view_of(reply_in_term(3, 0)) as view:
             await view.send_heartbeat()
             assert view.is_current()
             read_clock = time.clock_gettime
@@ -196,18 +203,14 @@
                 time, "clock_gettime", lambda clock: read_clock(clock) + suspended.get(clock, 0.0)
             )
             assert not view.is_current()
-        finally:
-            await process.close()
 
     asyncio.run(check())
 
 
 def test_an_answer_of_an_earlier_leader_confirms_nothing():
     async def check():
-        process = Process(settings("entry-0"))
-        group = AnsweringGroup(reply_in_term(5, 0), reply_in_term(4, 0), reply_in_term(5, 0))
-        view = view_of(process, group)
-        try:
+        replies = (reply_in_term(5, 0), reply_in_term(4, 0), reply_in_term(5, 0))
+        async with view_of(*replies) as view:
             await view.send_heartbeat()
             view.confirmed_at = float("-inf")
             with pytest.raises(UnavailableError):
@@ -215,7 +218,5 @@
             assert not view.is_current()
             await view.send_heartbeat()
             assert view.is_current()
-        finally:
-            await process.close()
 
     asyncio.run(check())
--- a/verbenashore/view.py
+++ b/verbenashore/view.py
@@ -9,7 +9,7 @@
 from verbenashore import deployment, logs, members
 from verbenashore.client import ATTEMPT_SECONDS, GroupClient
 from verbenashore.control import Change, decode_change
-from verbenashore.exceptions import DeploymentError, VerbenaError
+from verbenashore.exceptions import DeploymentError, UnavailableError, VerbenaError
 from verbenashore.fetching import Fetcher
 from verbenashore.logs import Event
 from verbenashore.messages import Heartbeat, HeartbeatReply, LiveMembers, Member
@@ -135,8 +135,15 @@
         )
         if not isinstance(reply, HeartbeatReply):
             raise VerbenaError("unexpected answer", step="heartbeat")
+        term = members.term_of(reply.members_version)
+        if term < self.confirmed_term:
+            raise UnavailableError(
+                f"a leader of term {term} answered after one of term {self.confirmed_term}",
+                step="heartbeat",
+                peer=self._control.leader,
+            )
         self.confirmed_at, self.confirmed_unix_at = sent_at, sent_unix_at
-        self._record_leader(members.term_of(reply.members_version), reply)
+        self._record_leader(term, reply)
         if self._control_lost:
             self._control_lost = False
             logs.info(Event.CONTROL_REGAINED, revision=self.revision)
