Bound what is read from servers, lists and operators

Cause: bodies were joined until their end or the timeout came, 0.8 s for a page of the list, which is 60 MB on a store's line; an event was buffered until its blank line; an operator's body could have 64 MB. Now each has a bound, and is a failed read or a 413.

The bound on an answer that an entry relays as a whole has no test of its own.

--- a/verbenashore/events.py
+++ b/verbenashore/events.py
@@ -4,6 +4,10 @@
 
 import msgspec
 
+from verbenashore.exceptions import BackendError
+
+#: Longest event in bytes; one holds the text of a few tokens.
+MAX_EVENT_BYTES = 1 << 20
 #: A line ends with CR LF, LF or CR; no other character ends one.
 LINE_END = re.compile(r"\r\n|\n|\r")
 #: The end of an event: that of its last line and a blank line.
@@ -51,12 +55,19 @@
         return any(line and not line.startswith(b":") for line in self._buffer.splitlines())
 
     def feed(self, data: bytes) -> list[ServerEvent]:
-        """Adds bytes and returns the events that are complete now."""
+        """Adds bytes and returns the events that are complete now.
+
+        :raises BackendError: if the incomplete event is longer than ``MAX_EVENT_BYTES``.
+        """
         self._buffer += data
         events = []
         while (match := EVENT_END.search(self._buffer)) is not None:
             events.append(parse_event(self._buffer[: match.end()]))
             self._buffer = self._buffer[match.end() :]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise BackendError(
+                f"an event is longer than {MAX_EVENT_BYTES} bytes", step="events", peer=""
+            )
         return events
 
 
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -94,6 +94,9 @@
 #: it: a new leader is elected 0.4 s after the old one froze, and callers expect a job's acceptance
 #: within 0.5 s.
 JOB_ATTEMPT_SECONDS = 0.25
+#: Longest answer in bytes that is relayed as a whole.  It is kept until it is complete, since the
+#: call may have to run elsewhere, and an entry may have 128 MB.
+MAX_ANSWER_BYTES = 8 << 20
 SUCCESS = 200
 #: End events that are logged at info level, so that they are dropped first when the log must drop
 #: lines.
@@ -675,10 +678,16 @@
             )
         relay.set_step(Step.BODY, self._clock())
         parts = []
+        size = 0
         async for part in opened.parts():
             relay.received_at = self._clock()
             if opened.head.status == SUCCESS:
                 self._record_begun(relay)
+            size += len(part)
+            if size > MAX_ANSWER_BYTES:
+                raise BackendError(
+                    f"the answer is longer than {MAX_ANSWER_BYTES} bytes", step="body", peer=""
+                )
             parts.append(part)
         body = b"".join(parts)
         if head.status >= 500 and not relay.is_last_attempt:
--- a/verbenashore/httpclient.py
+++ b/verbenashore/httpclient.py
@@ -17,6 +17,9 @@
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 READ_BYTES = 64 << 10
+#: Longest body in bytes that :func:`request` reads, unless told otherwise: far above a page of
+#: a list, and a small part of the 128 MB that an instance may have.
+MAX_BODY_BYTES = 8 << 20
 JSON_HEADERS = {"content-type": "application/json"}
 
 #: Header names and values; a list keeps the order and repeated names.
@@ -138,6 +141,23 @@
                     "the connection closed before the end of the body", step="body", peer=self._peer
                 )
 
+    async def read_body(self, max_bytes: int) -> bytes:
+        """Reads the body to its end.
+
+        :param max_bytes: the longest body that is read.
+        :raises BackendError: if it is longer, or the connection closes before its end.
+        """
+        parts = []
+        size = 0
+        async for part in self.parts():
+            size += len(part)
+            if size > max_bytes:
+                raise BackendError(
+                    f"the body is longer than {max_bytes} bytes", step="body", peer=self._peer
+                )
+            parts.append(part)
+        return b"".join(parts)
+
     async def _next_event(self) -> Any:
         while True:
             try:
@@ -206,21 +226,31 @@
     *,
     seconds: float,
     headers: Headers = JSON_HEADERS,
+    max_bytes: int = MAX_BODY_BYTES,
 ) -> Response:
     """Sends a request and returns the complete response.
 
     :param seconds: timeout of the whole request, and of each read once connected.
+    :param max_bytes: the longest body that is read.
     :raises BackendError: if no complete response was received in time.
     """
     timeout_error = BackendError("no response in time", step="read", peer=address)
     return await misc.with_timeout(
-        seconds, _request(address, method, target, body, seconds, headers), timeout_error
+        seconds,
+        _request(address, method, target, body, seconds, headers, max_bytes),
+        timeout_error,
     )
 
 
 async def _request(
-    address: str, method: str, target: str, body: bytes, seconds: float, headers: Headers
+    address: str,
+    method: str,
+    target: str,
+    body: bytes,
+    seconds: float,
+    headers: Headers,
+    max_bytes: int,
 ) -> Response:
     async with exchange(address, method, target, body, seconds, headers) as opened:
-        data = b"".join([part async for part in opened.parts()])
+        data = await opened.read_body(max_bytes)
         return Response(opened.status, opened.content_type, data)
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -42,6 +42,11 @@
     limits: CallerLimits = CallerLimits()
 
 
+#: Limits on operators' requests: a configuration of 20,000 routes has 6 MB, and a ledger process
+#: needs some copies of it.
+OPERATOR_LIMITS = ServerLimits(CallerLimits(body_bytes=8 << 20))
+
+
 class Request(msgspec.Struct):
     """One request of a caller.
 
--- a/verbenashore/remote.py
+++ b/verbenashore/remote.py
@@ -13,6 +13,8 @@
 from verbenashore.httpclient import JSON_HEADERS, Response
 
 REQUEST_TIMEOUT_SECONDS = 30.0
+#: Longest response in bytes; files of results are read whole.
+MAX_RESPONSE_BYTES = 1 << 30
 #: Seconds between two reads of a batch's status while :meth:`Client.wait` waits for its end.
 BATCH_POLL_SECONDS = 0.2
 MULTIPART_BOUNDARY = "verbena-form-boundary"
@@ -163,6 +165,7 @@
                 body,
                 seconds=REQUEST_TIMEOUT_SECONDS,
                 headers=all_headers,
+                max_bytes=MAX_RESPONSE_BYTES,
             )
         )
         if response.status >= 400:
