Skip an odd entry of the list instead of losing the list

Cause: a page was decoded as one document. Now it is split without reading its entries, and each is decoded for itself; slots that fit no message and port 0 are refused as well.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,5 +1,6 @@
 """The platform adapter: its names occur nowhere else, and its units and meanings are converted."""
 
+import asyncio
 import json
 import re
 import subprocess
@@ -92,10 +93,51 @@
         LIST_ENTRY | {"address": "host:1"},
         LIST_ENTRY | {"slots": 0},
         LIST_ENTRY | {"state": "odd"},
+        LIST_ENTRY | {"slots": 1 << 70},
+        LIST_ENTRY | {"address": "10.0.0.1:65536"},
+        LIST_ENTRY | {"address": "10.0.0.1:0"},
+        LIST_ENTRY | {"address": "10.0.0.1:" + "9" * 5000},
     ],
 )
 def test_a_malformed_list_entry_is_skipped(entry):
-    assert wire._to_entry(entry) is None
+    assert wire._to_entry(json.dumps(entry).encode()) is None
+
+
+DEEP = "[" * 100_000 + "]" * 100_000
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        DEEP,
+        f'{{"id": {DEEP}}}',
+        f'{{"id": "i", "unknown": {DEEP}}}',
+        '{"id": "i", "slots": 1e999}',
+        '{"id": "i", "unknown": 1e999}',
+        '{"id": "\\ud800"}',
+        '{"id": nothing}',
+        "7",
+    ],
+    ids=range(8),
+)
+def test_one_odd_entry_of_the_list_does_not_hide_the_others(odd):
+    async def check():
+        first, last = (json.dumps(LIST_ENTRY | {"id": name}) for name in ("first", "last"))
+        page = f'{{"instances": [{first}, {odd}, {last}], "next": null}}'
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(page.encode()))
+            writer.write(page.encode())
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        async with server:
+            return await wire.list_reader(f"{host}:{port}")()
+
+    assert [entry.name for entry in asyncio.run(check())] == ["first", "last"]
 
 
 def read_call(**fields):
