Refuse numbers that fit no message, and documents nested too deeply

Peers' messages that are nested too deeply ended the process. Now numbers are checked where they are read.

--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -58,3 +58,9 @@
     assert splitter.feed(b"id: 1\r") == []
     assert [event.number for event in splitter.feed(b"\ndata: a\r\n\r")] == [1]
     assert [event.number for event in splitter.feed(b"\nid: 2\r\ndata: b\r\n\r\n")] == [2]
+
+
+@pytest.mark.parametrize("digits", ["9" * 19, "9" * 5000])
+def test_an_event_number_that_fits_no_message_is_none(digits):
+    assert parse_event(f"id: {digits}\ndata: a\n\n".encode()).number == NO_NUMBER
+    assert parse_event(b"id: 999999999999999999\ndata: a\n\n").number == 999999999999999999
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -209,3 +209,50 @@
     headers = [(b"X-Verbenashore-Prompt-Prefix", parts), (b"x-other", b"1")]
     assert wire.DIALECT.read_prompt(headers) == ("5c1e", "91bd", "e440")
     assert wire.DIALECT.read_prompt([(b"x-other", b"1")]) == ()
+
+
+@pytest.mark.parametrize("name", ["x-verbenashore-deadline-ms", "last-event-id"])
+@pytest.mark.parametrize("text", ["nan", "inf", "1e999", "-1", "1_0", "9" * 5000, ""])
+def test_a_number_in_a_header_that_is_none_is_refused_with_its_name(name, text):
+    with pytest.raises(BadRequestError) as caught:
+        read_call(**{name: text})
+    assert caught.value.field == name
+
+
+def read_job(body):
+    """Returns the job that is read from a request."""
+    fields = {"x-verbenashore-request-id": "j"}
+    table = wire.read_configuration(json.dumps(configuration(1)).encode())
+    batch = next(route for route in table.routes if route.kind is RouteKind.BATCH)
+    return wire.read_job(Request("POST", "/", "/", {}, fields, body), batch, 120.0)
+
+
+@pytest.mark.parametrize("tokens", [-1, 1 << 53, 1 << 70])
+def test_a_job_with_a_number_of_tokens_that_cannot_be_is_refused(tokens):
+    item = {"id": "i", "path": "/", "headers": {}, "body": "", "tokens": tokens}
+    with pytest.raises(BadRequestError):
+        read_job(json.dumps({"items": [item]}).encode())
+
+
+def test_a_job_that_is_nested_too_deeply_is_refused():
+    with pytest.raises(BadRequestError):
+        read_job(f'{{"items": [], "unknown": {DEEP}}}'.encode())
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": 1 << 70},
+        {"version": -1},
+        {"routes": [route("r", "/r/", "batch", cap=1 << 70)]},
+        {"routes": [route("r", "/r/", "idempotent", max_attempts=1 << 70)]},
+    ],
+)
+def test_a_configuration_with_a_number_that_fits_no_message_is_refused(change):
+    with pytest.raises(BadRequestError):
+        wire.read_configuration(json.dumps(configuration(1) | change).encode())
+
+
+def test_a_configuration_that_is_nested_too_deeply_is_refused():
+    with pytest.raises(BadRequestError):
+        wire.read_configuration(f'{{"version": 1, "unknown": {DEEP}}}'.encode())
--- a/verbenashore/events.py
+++ b/verbenashore/events.py
@@ -13,6 +13,8 @@
 #: The end of an event: that of its last line and a blank line.
 EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
 NO_NUMBER = -1
+#: Most digits of an event's number: more than a server counts, and fewer than fit into 64 bits.
+MAX_NUMBER_DIGITS = 18
 #: Names of the fields that add nothing to a stream; a comment has no name.
 EMPTY_FIELDS = frozenset({"", "retry"})
 EVENT_STREAM = "text/event-stream"
@@ -81,7 +83,7 @@
         is_empty = is_empty and name in EMPTY_FIELDS
         value = value.removeprefix(" ")
         if name == "id" and value.isascii() and value.isdigit():
-            number = int(value)
+            number = int(value) if len(value) <= MAX_NUMBER_DIGITS else NO_NUMBER
         elif name == "data":
             data.append(value)
     return ServerEvent(raw, number, "\n".join(data), is_empty)
--- a/verbenashore/gossip.py
+++ b/verbenashore/gossip.py
@@ -100,7 +100,7 @@
             return
         try:
             report = _decoder.decode(data)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             logs.warning(Event.REPORT_UNREADABLE, peer=str(address), error=str(error))
             return
         if self._tree.receive(report, address, self._clock()):
--- a/verbenashore/link.py
+++ b/verbenashore/link.py
@@ -101,7 +101,7 @@
     """
     try:
         return _decoder.decode(data)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         logs.warning(Event.MESSAGE_UNREADABLE, peer=peer, bytes=len(data), error=str(error))
         return None
 
