--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -86,6 +86,7 @@
     :param listed_name: the name in the list, which lags behind the engine's own.
     :param misdirected: how many calls it answered that were meant for another engine.
     :param says_leaving: whether its answers say that it leaves, whatever the list says.
+    :param states_rate: the rate of requests that its answers state, as text; "" for none.
     :param on_answer: called for each call that it answers, whether or not it runs it.
     """
 
@@ -101,6 +102,7 @@
         self.listed_name = None
         self.misdirected = 0
         self.says_leaving = False
+        self.states_rate = ""
         self.on_answer = lambda: None
         self.stopping = asyncio.Event()
 
@@ -120,8 +122,9 @@
     async def handle_request(self, request, respond):
         """Answers one call or health check."""
         expected = request.headers.get(wire.EXPECT_INSTANCE, self.name)
-        leaving = {"server-leaving": "1"} if self.says_leaving else {}
-        own = {"x-verbenashore-instance-id": self.name} | leaving
+        stated = {"server-leaving": "1"} if self.says_leaving else {}
+        stated |= {"server-limit": self.states_rate} if self.states_rate else {}
+        own = {"x-verbenashore-instance-id": self.name} | stated
         call = request.headers.get(wire.REQUEST_ID, "")
         not_run = {wire.NOT_EXECUTED: "1", wire.REQUEST_ID: call}
         if expected != self.name:
@@ -134,14 +137,14 @@
         fault = next((f for p, f in self.faults.items() if request.path.startswith(p)), "")
         self.on_answer()
         if fault == "not-run":
-            await respond.send_json(503, {}, not_run | leaving)
+            await respond.send_json(503, {}, not_run | stated)
             return
         first_event = int(request.headers.get(wire.LAST_EVENT_ID, "0")) + 1
         run = {"call": call, "first": first_event, "outcome": "cut", "headers": request.headers}
         self.runs.append(run)
         if self.deadly_part and self.deadly_part in request.headers.get(wire.PROMPT_PREFIX, ""):
             await self._crash(respond)
-        headers = {wire.RESPONSE_STAMP: f"stamp-{self.name}", wire.REQUEST_ID: call} | leaving
+        headers = {wire.RESPONSE_STAMP: f"stamp-{self.name}", wire.REQUEST_ID: call} | stated
         if fault == "reset":
             raise ConnectionResetError
         if fault == "silent":
--- a/tests/test_backendcall.py
+++ b/tests/test_backendcall.py
@@ -67,6 +67,61 @@
     assert asyncio.run(leaving_told(answer, ask)) == told
 
 
+async def run_call_for_rate(server, on_rate):
+    """Makes a call; reports the rate that the server states."""
+    call = Call("c", "h", "GET", "/x", "/x", [], b"")
+    async with backendcall.open_call(
+        wire.DIALECT,
+        server,
+        call,
+        remaining_seconds=None,
+        last_event=None,
+        progress_timeout=5.0,
+        on_leaving=lambda _server: None,
+        on_rate=on_rate,
+    ):
+        pass
+
+
+async def run_check_for_rate(server, on_rate):
+    """Makes a status check; reports the rate that the server states."""
+    await backendcall.check_status(wire.DIALECT, server, "/health", lambda _server: None, on_rate)
+
+
+OWN = b"X-Verbenashore-Request-Id: c\r\n"
+
+
+@pytest.mark.parametrize(
+    ("answer", "of_call", "of_check"),
+    [
+        (b"HTTP/1.1 200 OK\r\nServer-Limit: 2\r\n" + OWN, [2.0], [2.0]),
+        (b"HTTP/1.1 500 Error\r\nServer-Limit: 2\r\n" + OWN, [2.0], [2.0]),
+        (
+            b"HTTP/1.1 503 Full\r\nX-Verbenashore-Not-Executed: 1\r\nServer-Limit: 2\r\n" + OWN,
+            [2.0],
+            [2.0],
+        ),
+        (b"HTTP/1.1 200 OK\r\n" + OWN, [None], [None]),
+        (b"HTTP/1.1 200 OK\r\n", [], []),
+        (b"HTTP/1.1 500 Error\r\n" + OWN, [], []),
+        (b"HTTP/1.1 200 OK\r\nServer-Limit: nan\r\n" + OWN, [], []),
+        (b"HTTP/1.1 421 Other\r\nServer-Limit: 2\r\n" + OWN, [], []),
+        (b"HTTP/1.1 200 OK\r\nX-Verbenashore-Instance-Id: o\r\nServer-Limit: 2\r\n", [], []),
+    ],
+)
+def test_a_rate_is_stated_by_any_answer_and_ended_by_a_good_one_to_the_call(
+    answer, of_call, of_check
+):
+    for ask, expected in ((run_call_for_rate, of_call), (run_check_for_rate, of_check)):
+        rates = []
+
+        async def ask_and_record(server, _on_leaving, ask=ask, rates=rates):
+            await ask(server, lambda _server, rate: rates.append(rate))
+
+        asyncio.run(leaving_told(answer, ask_and_record))
+        assert rates == expected
+
+
 def test_an_answer_to_another_call_does_not_say_who_leaves():
     answer = b"HTTP/1.1 200 OK\r\nX-Verbenashore-Request-Id: other\r\nServer-Leaving: 1\r\n"
     assert asyncio.run(leaving_told(answer, run_call)) == []
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -397,6 +397,27 @@
     wait_until(lambda: reached(platform, leaving, "renamed", 3))
 
 
+def test_two_entries_send_an_engine_no_more_calls_than_it_states_and_the_rest_elsewhere(platform):
+    limited = model_engines(platform)[0]
+    wait_until(lambda: reached(platform, limited, "before", 3))
+    limited.states_rate = "1.0"
+    answers = []
+    limited.on_answer = lambda: answers.append(time.monotonic())
+    try:
+        wait_until(lambda: reached(platform, limited, "stated", 1) or answers)
+        threading.Event().wait(0.5)
+        count, started = len(answers), time.monotonic()
+        placed = sum(reached(platform, limited, f"capped-{n}", 10) for n in range(6))
+        seconds = time.monotonic() - started
+        assert len(answers) - count <= 1.5 * max(seconds, 4.0) + 5
+        assert placed < 20, "the others got the rest"
+        limited.states_rate = ""
+        wait_until(lambda: reached(platform, limited, "ended", 12) > 2)
+    finally:
+        limited.states_rate = ""
+        limited.on_answer = lambda: None
+
+
 def test_an_engine_under_a_new_name_refuses_one_call_and_gets_others_once_it_is_listed(platform):
     """Guards calls that reach an engine which came back while the list has its former name."""
     engine = model_engines(platform)[0]
--- a/tests/test_loadtable.py
+++ b/tests/test_loadtable.py
@@ -1,5 +1,7 @@
 """A member's report replaces its previous one, and the report of a silent member expires."""
 
+import msgspec
+
 from verbenashore.loadtable import REPORT_SECONDS, Load, LoadTable, Report
 
 
@@ -41,3 +43,16 @@
     load_table.record_report(Report("x", "a", 1, {}, [], {"notes": 2}), 0.0)
     load_table.record_report(Report("y", "a", 1, {}, [], {"notes": 3, "forms": 1}), 0.0)
     assert load_table.remote_waiting("notes") == 5 and load_table.remote_waiting("none") == 0
+
+
+class FormerLoad(msgspec.Struct, frozen=True, array_like=True):
+    """The load of a server as a member of an earlier build reports and reads it."""
+
+    online: int = 0
+    batch: int = 0
+
+
+def test_members_of_an_earlier_build_read_loads_and_are_read():
+    encode = msgspec.msgpack.encode
+    assert msgspec.msgpack.decode(encode(Load(1, 2, 3)), type=FormerLoad) == FormerLoad(1, 2)
+    assert msgspec.msgpack.decode(encode(FormerLoad(1, 2)), type=Load) == Load(1, 2, 0)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -256,3 +256,27 @@
 def test_a_configuration_that_is_nested_too_deeply_is_refused():
     with pytest.raises(BadRequestError):
         wire.read_configuration(f'{{"version": 1, "unknown": {DEEP}}}'.encode())
+
+
+@pytest.mark.parametrize(
+    ("text", "per_second"),
+    [
+        (b"2.5", 2.5),
+        (b"3", 3.0),
+        (b" 0.04 ", 0.04),
+        (b"0", 0.0),
+        (b"-1", None),
+        (b"nan", None),
+        (b"inf", None),
+        (b"1e3", None),
+        (b"1_0", None),
+        (b"9" * 1000, None),
+        (b"\xff", None),
+        (b"", None),
+    ],
+)
+def test_the_rate_that_a_server_states_is_a_decimal_number(text, per_second):
+    for status in (200, 500, 503):
+        head = wire.DIALECT.read_head(status, [(b"Server-Limit", text)])
+        assert head.states_rate and head.per_second == per_second
+    assert not wire.DIALECT.read_head(200, []).states_rate
--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -17,6 +17,8 @@
 
 #: Timeout of a new connection; the servers accept one within a few round trips.
 CONNECT_TIMEOUT_SECONDS = 0.1
+#: Lowest HTTP status of an error.
+ERROR_STATUS = 400
 #: Timeout of a status check, which waits for a slot like any call.
 PROBE_TIMEOUT_SECONDS = 0.4
 #: Timeout of the connection that tells a crashed server from one that only broke a connection.  The
@@ -57,6 +59,9 @@
     :param misdirected: the server states that the call is not for it, and did not run it.
     :param leaving: the server that answered states that it leaves.
     :param answered_by: the name of the server that answered; "" if it states none.
+    :param per_second: the rate of requests that the server takes from all members; None if it
+        states none that can be read.
+    :param states_rate: whether it states a rate, readable or not.
     """
 
     status: int
@@ -66,6 +71,8 @@
     misdirected: bool
     leaving: bool = False
     answered_by: str = ""
+    per_second: float | None = None
+    states_rate: bool = False
 
     def is_from_other(self, server: BackendEntry) -> bool:
         """Returns whether the server that answered states another name than a server's."""
@@ -94,6 +101,12 @@
 
 #: Is called with a server that states that it leaves.
 LeavingHandler = Callable[[BackendEntry], None]
+#: Is called with a server and the rate of requests that it states; None if it states none any more.
+RateHandler = Callable[[BackendEntry, float | None], None]
+
+
+def ignore_rate(_server: BackendEntry, _per_second: float | None) -> None:
+    """Ignores the rate that a server states."""
 
 
 class OpenCall(msgspec.Struct):
@@ -112,21 +125,30 @@
 
 
 async def check_status(
-    dialect: Dialect, server: BackendEntry, path: str, on_leaving: LeavingHandler
+    dialect: Dialect,
+    server: BackendEntry,
+    path: str,
+    on_leaving: LeavingHandler,
+    on_rate: RateHandler = ignore_rate,
 ) -> None:
     """Runs a server's status check.
 
     :param on_leaving: called if the server states that it leaves.
+    :param on_rate: called if the server states a rate of requests.
     :raises BackendReplacedError: another server has the address.
     :raises BackendError: the check fails, or the server can't be reached.
     """
     timeout_error = BackendError("no response in time", step="read", peer=server.address)
-    asking = _ask_status(dialect, server, path, on_leaving)
+    asking = _ask_status(dialect, server, path, on_leaving, on_rate)
     await misc.with_timeout(PROBE_TIMEOUT_SECONDS, asking, timeout_error)
 
 
 async def _ask_status(
-    dialect: Dialect, server: BackendEntry, path: str, on_leaving: LeavingHandler
+    dialect: Dialect,
+    server: BackendEntry,
+    path: str,
+    on_leaving: LeavingHandler,
+    on_rate: RateHandler,
 ) -> None:
     status_call = Call("", server.address, "GET", path, path, [], b"")
     headers = dialect.call_headers(status_call, server, None, None)
@@ -134,7 +156,7 @@
         server.address, "GET", path, b"", PROBE_TIMEOUT_SECONDS, headers
     ) as exchange:
         head = dialect.read_head(exchange.status, exchange.headers)
-        _report_leaving(head, server, on_leaving)
+        _report_state(head, server, on_leaving, on_rate)
         _check_misdirected(head, server)
         async for _ in exchange.parts():
             pass
@@ -144,9 +166,19 @@
         raise BackendError(f"status {head.status}", step="head", peer=server.name, not_run=True)
 
 
-def _report_leaving(head: AnswerHead, server: BackendEntry, on_leaving: LeavingHandler) -> None:
-    if head.leaving and not head.misdirected and not head.is_from_other(server):
+def _report_state(
+    head: AnswerHead, server: BackendEntry, on_leaving: LeavingHandler, on_rate: RateHandler
+) -> None:
+    """Reports what a server states about itself, if it is the one that answered."""
+    if head.misdirected or head.is_from_other(server):
+        return
+    if head.leaving:
         on_leaving(server)
+    if head.per_second is not None:
+        on_rate(server, head.per_second)
+    elif not head.states_rate and head.call and head.status < ERROR_STATUS:
+        # Errors and answers to status checks need not state the rate.
+        on_rate(server, None)
 
 
 def _check_misdirected(head: AnswerHead, server: BackendEntry) -> None:
@@ -214,6 +246,7 @@
     last_event: int | None,
     progress_timeout: float,
     on_leaving: LeavingHandler,
+    on_rate: RateHandler = ignore_rate,
     on_connected: Callable[[], None] = lambda: None,
 ) -> AsyncIterator[OpenCall]:
     """Sends a call and yields its answer; leaving the block early cancels the work at the server.
@@ -221,6 +254,7 @@
     :param remaining_seconds: remaining seconds for the whole call, sent to the server.
     :param progress_timeout: timeout in seconds for each further part of the answer.
     :param on_leaving: called if the server states that it leaves, whether or not it ran the call.
+    :param on_rate: called with the rate of requests that the server states.
     :param on_connected: called when the connection is established.
     :raises BackendBusyError: the server states that it did not run the call.
     :raises BackendReplacedError: another server has the address; it did not run the call.
@@ -242,7 +276,7 @@
             raise BackendError(
                 "the response belongs to another call", step="head", peer=server.name
             )
-        _report_leaving(head, server, on_leaving)
+        _report_state(head, server, on_leaving, on_rate)
         if (head.misdirected or head.not_run) and not (head.not_run and head.call):
             # It may be an answer to another call, or one of the service itself.
             raise BackendError(
--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -13,6 +13,7 @@
 
 from verbenashore.directory import BackendEntry, Directory
 from verbenashore.loadtable import LoadTable
+from verbenashore.ratelimits import RateLimits
 from verbenashore.types import BackendName, ServiceName
 
 #: Shortest and longest Retry-After, in seconds, that a refused caller gets.
@@ -50,8 +51,15 @@
 CHOICES = 2
 #: Weight of the newest call in the moving average of the time that a service's calls hold a slot.
 HOLD_WEIGHT = 0.05
+#: Lowest total rate, in calls a second, that is assumed for the servers of a service.
+MIN_SERVICE_RATE = 0.01
+#: Part of a server's stated rate that items of jobs and status checks may use while online calls
+#: run there.
+BACKGROUND_PART = 0.5
 #: Assumed time in seconds that a call holds a slot, before any was measured.
 DEFAULT_HOLD_SECONDS = 0.5
+#: Least such time that is assumed.
+MIN_HOLD_SECONDS = 1e-3
 
 
 class Verdict(Enum):
@@ -141,11 +149,20 @@
 
 
 class Dispatcher:
-    """The queued tickets of one process, and the health of the servers."""
+    """The queued tickets of one process, and the health of the servers.
+
+    :param limits: the rates that servers state; a server gets no more requests than they allow.
+    """
 
     def __init__(
-        self, directory: Directory, load_table: LoadTable, data_centre: str, seed: int = 0
+        self,
+        directory: Directory,
+        load_table: LoadTable,
+        data_centre: str,
+        seed: int = 0,
+        limits: RateLimits | None = None,
     ) -> None:
+        self.limits = limits or RateLimits(load_table)
         self._directory = directory
         self._load_table = load_table
         self._data_centre = data_centre
@@ -173,7 +190,9 @@
             return Decision(Verdict.REFUSED, None, MAX_RETRY_SECONDS, "no server")
         wait = self.expected_wait(ticket.service)
         if now + wait > (ticket.hard_deadline if ticket.accepts_late else ticket.soft_deadline):
-            return Decision(Verdict.REFUSED, None, self._retry_after(wait), "queue too long")
+            is_limited = self._lost_rate(ticket.service) > 0
+            reason = "the servers' rates are used up" if is_limited else "queue too long"
+            return Decision(Verdict.REFUSED, None, self._retry_after(wait), reason)
         self._waiting.append(ticket)
         return WAITING
 
@@ -293,6 +312,7 @@
 
     def forget(self, names: list[BackendName]) -> None:
         """Drops the health of servers that are no longer listed."""
+        self.limits.forget(names)
         for name in names:
             self._health_by_name.pop(name, None)
 
@@ -320,7 +340,7 @@
             if server.name in ticket.excluded or not self.may_use(server.name, now):
                 continue
             load = self._load_table.total(server.name)
-            if load.online >= server.slots:
+            if load.online >= server.slots or not self._rate_allows(server):
                 continue
             busy = load.online + load.batch >= server.slots
             rank = (busy, server.data_centre != self._data_centre)
@@ -346,9 +366,46 @@
     def expected_wait(self, service: ServiceName) -> float:
         """Returns the seconds that a new ticket of a service would wait for a slot."""
         queued = self.waiting_by_service()[service] + self._load_table.remote_waiting(service) + 1
-        slots = self._directory.accepting_slots(service)
-        hold = self._hold_by_service.get(service, DEFAULT_HOLD_SECONDS)
-        return queued * hold / max(1, slots)
+        slots = max(1, self._directory.accepting_slots(service))
+        rate = slots / self._hold_seconds(service) - self._lost_rate(service)
+        return queued / max(MIN_SERVICE_RATE, rate)
+
+    def may_use_in_background(self, server: BackendEntry) -> bool:
+        """Returns whether a server's rate leaves room for an item of a job or a status check.
+
+        Online calls go first: those that wait for a server of the service, and the next ones at a
+        server where some run.
+        """
+        if self.limits.per_second(server.name) is None:
+            return True
+        waiting = self.waiting_by_service()[server.service]
+        if waiting + self._load_table.remote_waiting(server.service):
+            return False
+        is_used = self._load_table.total(server.name).online > 0
+        return self.limits.may_send(server.name, part=BACKGROUND_PART if is_used else 1.0)
+
+    def _rate_allows(self, server: BackendEntry) -> bool:
+        """Returns whether a server's rate leaves room for a call that this process has."""
+        if self.limits.per_second(server.name) is None:
+            return True
+        local = max(1, self.waiting_by_service()[server.service])
+        share = local / (local + self._load_table.remote_waiting(server.service))
+        return self.limits.may_send(server.name, share)
+
+    def _hold_seconds(self, service: ServiceName) -> float:
+        return max(MIN_HOLD_SECONDS, self._hold_by_service.get(service, DEFAULT_HOLD_SECONDS))
+
+    def _lost_rate(self, service: ServiceName) -> float:
+        """Returns the calls a second that a service can't take because servers state a rate."""
+        hold = self._hold_seconds(service)
+        lost = 0.0
+        for name in self.limits.limited:
+            server = self._directory.by_name.get(name)
+            per_second = self.limits.per_second(name)
+            if server is None or server.leaving or server.service != service or per_second is None:
+                continue
+            lost += max(0.0, server.slots / hold - per_second)
+        return lost
 
     def _has_candidate(self, ticket: Ticket) -> bool:
         """Returns whether any server that accepts work, suspected or not, isn't excluded."""
@@ -370,6 +427,7 @@
 
     def _grant(self, server: BackendEntry) -> Decision:
         self._load_table.add(server.name, online=1)
+        self.limits.record_request(server.name)
         return Decision(Verdict.GRANTED, server)
 
     def _retry_after(self, wait: float) -> float:
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -36,7 +36,7 @@
 from verbenashore.logs import Event
 from verbenashore.messages import HeartbeatReply, ItemBody, ReadItemBody, ReadResults
 from verbenashore.prober import Prober
-from verbenashore.process import Process, new_quarantine
+from verbenashore.process import Process, new_quarantine, new_rate_limits
 from verbenashore.retries import RetryDetector
 from verbenashore.routing import CallerLimits, Route, RouteIndex, RouteKind, RouteTable
 from verbenashore.transfer import Document
@@ -236,6 +236,7 @@
             self._load_table,
             settings.data_centre,
             misc.quick_hash(process.incarnation),
+            new_rate_limits(process, self._load_table),
         )
         self._call_queue = CallQueue(self._dispatcher, process.clock)
         self._list_updater = BackendListUpdater(
@@ -652,6 +653,7 @@
                 last_event=relay.last_event,
                 progress_timeout=progress_timeout,
                 on_leaving=self._prober.record_leaving,
+                on_rate=self._prober.record_rate,
                 on_connected=lambda: relay.set_step(Step.HEAD, self._clock()),
             ) as opened:
                 relay.received_at = self._clock()
--- a/verbenashore/gossip.py
+++ b/verbenashore/gossip.py
@@ -44,7 +44,8 @@
     :param own: this member.
     :param on_report: called with another member's report after it is added to the load table, and
         with None when the reports of a member have expired.
-    :param dispatcher: provides this member's waiting calls and the servers that it suspects.
+    :param dispatcher: provides this member's waiting calls and the servers that it suspects, and
+        provides and takes the rates that servers state.
     :param quarantine: provides and takes the evidence against parts of prompts.
     :param takes_part: returns whether this member has calls of its own to report.
     """
@@ -104,7 +105,9 @@
             logs.warning(Event.REPORT_UNREADABLE, peer=str(address), error=str(error))
             return
         if self._tree.receive(report, address, self._clock()):
-            if self._quarantine.merge(report.evidence) or self._tree.children:
+            is_news = self._quarantine.merge(report.evidence)
+            is_news = self._dispatcher.limits.merge(report.statements) or is_news
+            if is_news or self._tree.children:
                 self.mark_changed()
             self._on_report(report)
 
@@ -160,6 +163,7 @@
             sorted(self._dispatcher.suspects),
             dict(self._dispatcher.waiting_by_service()),
             self._quarantine.evidence(),
+            self._dispatcher.limits.statements(),
         )
         for address, report in self._tree.due_reports(own, now):
             self._send(address, report)
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -365,7 +365,11 @@
             free = server.slots - RESERVED_SLOTS - total.online - total.batch
             if now < self._yielded_at.get(server.name, float("-inf")) + YIELD_PAUSE_SECONDS:
                 continue
-            if free > most_free and self._dispatcher.may_use(server.name, now):
+            if (
+                free > most_free
+                and self._dispatcher.may_use(server.name, now)
+                and self._dispatcher.may_use_in_background(server)
+            ):
                 best, most_free = server, free
         return best
 
@@ -377,6 +381,7 @@
         progress.record_start(self._clock())
         self._quarantine.record_start(progress.prompt)
         self._load_table.add(server.name, batch=1)
+        self._dispatcher.limits.record_request(server.name)
         self._on_load_change()
         logs.info(
             Event.ITEM_PLACED,
@@ -491,6 +496,7 @@
             last_event=progress.last_event,
             progress_timeout=STALL_SECONDS,
             on_leaving=self._prober.record_leaving,
+            on_rate=self._prober.record_rate,
         ) as opened:
             status = opened.head.status
             if status == IMPOSSIBLE_STATUS:
--- a/verbenashore/ledgerrelay.py
+++ b/verbenashore/ledgerrelay.py
@@ -18,7 +18,7 @@
 from verbenashore.members import MemberTable
 from verbenashore.messages import Heartbeat, HeartbeatReply, ItemBody, ReadItemBody, ReadResults
 from verbenashore.prober import Prober
-from verbenashore.process import Process, new_quarantine
+from verbenashore.process import Process, new_quarantine, new_rate_limits
 from verbenashore.replica import ReplicaRunner
 from verbenashore.routing import RouteIndex, RouteTable
 from verbenashore.types import JobId, MemberRole
@@ -59,7 +59,12 @@
         self._directory = Directory()
         # Members compare versions to see changes, so those of different leaders must differ.
         self._directory.version = misc.quick_hash(process.incarnation) >> 16
-        dispatcher = Dispatcher(self._directory, self._load_table, settings.data_centre)
+        dispatcher = Dispatcher(
+            self._directory,
+            self._load_table,
+            settings.data_centre,
+            limits=new_rate_limits(process, self._load_table),
+        )
         self._prober = Prober(
             relay_settings.dialect,
             dispatcher,
--- a/verbenashore/loadtable.py
+++ b/verbenashore/loadtable.py
@@ -21,10 +21,24 @@
 
     :param online: calls of callers who wait.
     :param batch: running items of item jobs, which yield to online calls.
+    :param started: requests of the last seconds to a server that states a rate; see
+        :mod:`verbenashore.ratelimits`.
     """
 
     online: int = 0
     batch: int = 0
+    started: int = 0
+
+
+class Statement(msgspec.Struct, frozen=True, array_like=True):
+    """What a server has stated last about the rate of requests that it takes.
+
+    :param per_second: requests a second from all members; None if it states no rate any more.
+    :param at: Unix time of the statement; a newer one has a higher value.
+    """
+
+    per_second: float | None
+    at: float
 
 
 class Position(msgspec.Struct, frozen=True, order=True, array_like=True):
@@ -54,6 +68,7 @@
     :param to_parent: true if the member takes the recipient for its parent in the tree.
     :param leaving: true if the recipient is to forget the member.
     :param evidence: what the member knows of prompts that crash servers.
+    :param statements: the request rates that servers have stated, as far as the member knows.
     """
 
     member: MemberName
@@ -69,6 +84,7 @@
     to_parent: bool = False
     leaving: bool = False
     evidence: Evidence = NO_EVIDENCE
+    statements: dict[BackendName, Statement] = msgspec.field(default_factory=dict)
 
 
 class ReceivedReport(msgspec.Struct):
@@ -91,9 +107,9 @@
         self._remote_by_backend: dict[BackendName, Load] = {}
         self._remote_waiting_by_service: Counter[ServiceName] = Counter()
 
-    def add(self, backend: BackendName, online: int = 0, batch: int = 0) -> None:
+    def add(self, backend: BackendName, online: int = 0, batch: int = 0, started: int = 0) -> None:
         """Changes the numbers of this member's own calls; negative numbers remove calls."""
-        _add(self.local_by_backend, backend, Load(online, batch))
+        _add(self.local_by_backend, backend, Load(online, batch, started))
 
     def record_report(self, report: Report, now: float) -> bool:
         """Records a report; returns False if it isn't newer than the last of that incarnation."""
@@ -130,7 +146,7 @@
         local = self.local_by_backend.get(backend)
         if remote is None or local is None:
             return remote or local or NO_LOAD
-        return Load(remote.online + local.online, remote.batch + local.batch)
+        return _sum(remote, local)
 
     def remote_waiting(self, service: ServiceName) -> int:
         """Returns the number of calls that wait for a service at other members."""
@@ -181,19 +197,25 @@
         for backend in before.keys() | after.keys():
             old, new = before.get(backend, NO_LOAD), after.get(backend, NO_LOAD)
             if old != new:
-                change = Load(new.online - old.online, new.batch - old.batch)
-                _add(self._remote_by_backend, backend, change)
+                _add(self._remote_by_backend, backend, _sum(new, _negative(old)))
 
 
 NO_LOAD = Load()
 NO_REPORT = Report(MemberName(""), "", 0, {})
 
 
+def _sum(one: Load, other: Load) -> Load:
+    return Load(one.online + other.online, one.batch + other.batch, one.started + other.started)
+
+
+def _negative(load: Load) -> Load:
+    return Load(-load.online, -load.batch, -load.started)
+
+
 def _add(by_backend: dict[BackendName, Load], backend: BackendName, load: Load) -> None:
-    before = by_backend.get(backend, NO_LOAD)
-    online, batch = before.online + load.online, before.batch + load.batch
-    if online or batch:
-        by_backend[backend] = Load(online, batch)
+    after = _sum(by_backend.get(backend, NO_LOAD), load)
+    if after != NO_LOAD:
+        by_backend[backend] = after
     else:
         by_backend.pop(backend, None)
 
@@ -201,7 +223,7 @@
 def _subtract_report(by_backend: dict[BackendName, Load], report: Report) -> None:
     for loads in (report.load_by_backend, report.relayed_by_backend):
         for backend, load in loads.items():
-            _add(by_backend, backend, Load(-load.online, -load.batch))
+            _add(by_backend, backend, _negative(load))
 
 
 def _without_relayed(report: Report) -> Report:
--- a/verbenashore/loadtree.py
+++ b/verbenashore/loadtree.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from verbenashore.loadtable import LoadTable, Position, Report
+from verbenashore.loadtable import LoadTable, Position, Report, Statement
 from verbenashore.quarantine import NO_EVIDENCE, Evidence
 from verbenashore.types import BackendName, MemberName, ServiceName
 
@@ -60,6 +60,7 @@
     suspects: list[BackendName]
     waiting_by_service: dict[ServiceName, int]
     evidence: Evidence = NO_EVIDENCE
+    statements: dict[BackendName, Statement] = msgspec.field(default_factory=dict)
 
 
 def find_parent(own: Position, nodes: Iterable[Node]) -> Node | None:
@@ -251,6 +252,7 @@
             self._own.position,
             to_parent,
             evidence=own.evidence,
+            statements=own.statements,
         )
 
     def _farewell(self, node: Node) -> tuple[ReportAddress, Report]:
--- a/verbenashore/prober.py
+++ b/verbenashore/prober.py
@@ -55,6 +55,11 @@
             logs.info(Event.BACKEND_LEAVING, server=server.name)
             self._on_change()
 
+    def record_rate(self, server: BackendEntry, per_second: float | None) -> None:
+        """Records the rate of requests that a server stated; None if it states none any more."""
+        if self._dispatcher.limits.record_statement(server.name, per_second):
+            self._on_change()
+
     def record_suspects(self, report: Report) -> None:
         """Records the suspects that a member reports or passes on, unless it has before."""
         previous = self._suspects_by_member.get(report.member, frozenset())
@@ -72,6 +77,9 @@
                     await self._failed.wait()
                 await asyncio.sleep(POLL_SECONDS)
                 for server in self._dispatcher.due_probes(self._clock()):
+                    if not self._dispatcher.may_use_in_background(server):
+                        continue
+                    self._dispatcher.limits.record_request(server.name)
                     misc.spawn(self._probe(server), self._tasks)
         finally:
             await misc.cancel_and_wait(*self._tasks)
@@ -88,7 +96,9 @@
         if not path:
             return
         try:
-            await backendcall.check_status(self._dialect, server, path, self.record_leaving)
+            await backendcall.check_status(
+                self._dialect, server, path, self.record_leaving, self.record_rate
+            )
         except BackendError as error:
             logs.info(Event.PROBE_FAILED, server=server.name, step=error.step, error=error.message)
             if isinstance(error, BackendReplacedError):
--- a/verbenashore/process.py
+++ b/verbenashore/process.py
@@ -16,10 +16,12 @@
 from verbenashore.client import LinkPool
 from verbenashore.exceptions import NotFoundError, StorageError, VerbenaError
 from verbenashore.httpserver import Request, Responder
+from verbenashore.loadtable import LoadTable
 from verbenashore.logs import Event, LineWriter
 from verbenashore.messages import Sender
 from verbenashore.quarantine import Hold, Quarantine
-from verbenashore.types import Clock, MemberName, PromptPart, Revision, UnixClock
+from verbenashore.ratelimits import RateLimits
+from verbenashore.types import BackendName, Clock, MemberName, PromptPart, Revision, UnixClock
 from verbenashore.version import __version__
 
 EXIT_FAILED = 1
@@ -126,6 +128,16 @@
     return Quarantine(running.unix_clock, on_change)
 
 
+def new_rate_limits(running: Process, load_table: LoadTable) -> RateLimits:
+    """Returns the rates that servers state, with a log line for each change."""
+
+    def on_change(server: BackendName, per_second: float | None) -> None:
+        logs.info(Event.BACKEND_LIMITED, server=server, per_second=per_second)
+
+    seed = misc.quick_hash(running.incarnation)
+    return RateLimits(load_table, running.clock, running.unix_clock, seed, on_change)
+
+
 async def serve_health(process: Process, address: str) -> None:
     """Serves ``/livez``, ``/readyz`` and ``/metrics`` for programs with no other HTTP service."""
 
