Answer the calls that a stopping entry can't complete

It could happen here: calls are taken for 3.25 s after the signal and may last for their timeout of 5 s, but the process is killed after 8 s; nothing read the grace. Now a call that may run once and could outlast the grace is refused as not run while another entry can take it, and 0.3 s before the end of the grace the open calls end as timed out, with an answer.

Three of the four cases in tests/test_stopping.py failed before.

--- /dev/null
+++ b/tests/test_stopping.py
@@ -0,0 +1,149 @@
+"""Calls of an entry that has been told to stop and is killed at the end of its grace."""
+
+import argparse
+import asyncio
+import contextlib
+import time
+
+import pytest
+
+from tests.gateways import PLAIN_DIALECT
+from tests.platforms import own_address
+from verbenashore.backendcall import Call
+from verbenashore.directory import BackendEntry
+from verbenashore.exceptions import OverloadedError, VerbenaError
+from verbenashore.gateway import Gateway
+from verbenashore.ledgerrelay import RelaySettings
+from verbenashore.process import Process
+from verbenashore.routing import Route, RouteKind, Share
+
+#: Seconds from the stop signal until the process is killed, and in which calls are still taken.
+GRACE_SECONDS = 2.0
+LAME_DUCK_SECONDS = 0.8
+#: Timeout of the calls: longer than the grace.
+TIMEOUT_SECONDS = 6.0
+
+
+class StoppingEntry:
+    """An entry with one backend server.
+
+    :param reached: how many calls have reached the server.
+    :param pause: seconds until the server answers.
+    """
+
+    def __init__(self, kind, pause):
+        self.route = Route("r", "h", "/", kind, TIMEOUT_SECONDS, 0.5, (Share("s", 1),))
+        self.pause = pause
+        self.reached = 0
+
+    async def answer(self, reader, writer):
+        """Answers a call as the server does, unless its caller leaves."""
+        with contextlib.suppress(ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            self.reached += 1
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self.pause):
+                    await reader.read()
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+            await writer.drain()
+        writer.close()
+
+    async def handle(self, request, respond):
+        """Relays a call as the platform's handler does."""
+        call = Call("c", "h", request.method, "/x", "/x", [], b"", TIMEOUT_SECONDS)
+        try:
+            await self.gateway.relay(call, self.route, respond)
+        except VerbenaError as error:
+            status = 503 if isinstance(error, OverloadedError) else error.http_status
+            await respond.send_json(status, {})
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        """Runs the entry; its process is not killed at the end of the grace."""
+        listener = await asyncio.start_server(self.answer, "127.0.0.1", 0)
+        host, port = listener.sockets[0].getsockname()
+        process = Process(
+            argparse.Namespace(
+                name="e",
+                data_centre="d",
+                region="r",
+                statsd=(),
+                lame_duck=LAME_DUCK_SECONDS,
+                grace=GRACE_SECONDS,
+            )
+        )
+        entries = [BackendEntry("b", "s", f"{host}:{port}", "d", 4, False)]
+
+        async def fetch():
+            return entries
+
+        settings = RelaySettings(PLAIN_DIALECT, fetch, own_address())
+        self.gateway = Gateway(process, settings, ["127.0.0.1:1"])
+        self.address, self.stopping = own_address(), process.stopping
+        running = asyncio.create_task(self.gateway.run(self.address, self.handle))
+        try:
+            await asyncio.sleep(0.5)
+            yield
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+            await process.close()
+            listener.close()
+            # The last connections close before the loop does.
+            await asyncio.sleep(0.1)
+
+    async def status(self, until):
+        """Makes a call; returns the status of its answer, or None if there is none in time.
+
+        :param until: when the caller gives up, by ``time.monotonic``.
+        """
+        host, _, port = self.address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n")
+        try:
+            async with asyncio.timeout(until - time.monotonic()):
+                return int((await reader.readuntil(b"\r\n"))[9:12])
+        except (TimeoutError, asyncio.IncompleteReadError):
+            return None
+        finally:
+            writer.close()
+            with contextlib.suppress(ConnectionError):
+                await writer.wait_closed()
+
+
+@pytest.mark.parametrize("kind", [RouteKind.ONCE, RouteKind.REPEATABLE])
+def test_a_call_that_outlasts_the_grace_is_answered_before_its_process_is_killed(kind):
+    async def check():
+        entry = StoppingEntry(kind, pause=TIMEOUT_SECONDS)
+        async with entry.running():
+            killed_at = time.monotonic() + 0.1 + GRACE_SECONDS
+            calling = asyncio.create_task(entry.status(killed_at))
+            await asyncio.sleep(0.1)
+            entry.stopping.set()
+            assert await calling == 504
+            assert time.monotonic() > killed_at - 0.5, "the server had most of the grace"
+
+    asyncio.run(check())
+
+
+def test_a_late_call_that_may_run_once_is_refused_and_does_not_run():
+    async def check():
+        entry = StoppingEntry(RouteKind.ONCE, pause=TIMEOUT_SECONDS)
+        async with entry.running():
+            entry.stopping.set()
+            await asyncio.sleep(0.1)
+            assert await entry.status(time.monotonic() + 1.0) == 503
+            assert entry.reached == 0
+
+    asyncio.run(check())
+
+
+def test_a_late_call_that_may_run_again_is_served():
+    async def check():
+        entry = StoppingEntry(RouteKind.REPEATABLE, pause=0.2)
+        async with entry.running():
+            entry.stopping.set()
+            await asyncio.sleep(0.1)
+            assert await entry.status(time.monotonic() + 1.0) == 200
+
+    asyncio.run(check())
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -4,12 +4,13 @@
 import contextlib
 import random
 import socket
+from collections.abc import AsyncIterator
 from enum import Enum
 from typing import Any
 
 import msgspec
 
-from verbenashore import backendcall, httpserver, itemjobs, logs, misc, routing, transfer
+from verbenashore import backendcall, dispatch, httpserver, itemjobs, logs, misc, routing, transfer
 from verbenashore.backendcall import Call, Dialect, OpenCall
 from verbenashore.callqueue import CallQueue
 from verbenashore.client import GroupClient
@@ -61,6 +62,9 @@
 WAIT_SHARE = 0.75
 #: Share of a caller's timeout after which a call is no longer started.
 LATEST_START_SHARE = 0.8
+#: Seconds before the end of the grace at which a stopping process ends the open calls itself, so
+#: that they get an answer.
+STOP_MARGIN_SECONDS = 0.3
 #: Rank of a stream that resumes at another server; it goes before all others.
 RESUMED_RANK = -1
 #: Longest pause in seconds between events that is assumed for a route that declares none.
@@ -263,6 +267,8 @@
             self._quarantine,
         )
         self._retry_detector = RetryDetector()
+        self._ends_at = float("inf")
+        self._open_timeouts: set[asyncio.Timeout] = set()
         self._nearby_address = ""
         self._nearby_reads = 0
         self._list_read_at = float("-inf")
@@ -292,6 +298,7 @@
             Event.STOPPING,
             open_calls=sum(load.online for load in self._load_table.local_by_backend.values()),
         )
+        self._bound_calls(self._process.settings.grace - STOP_MARGIN_SECONDS)
         self._update_readiness()
         self._view.set_state(MemberState.DRAINING)
         closing.set()
@@ -299,6 +306,24 @@
         stopping.set()
         await serving
 
+    def _bound_calls(self, seconds: float) -> None:
+        """Ends the open calls, and those still to come, after some seconds."""
+        self._ends_at = self._clock() + seconds
+        ends_at = asyncio.get_running_loop().time() + seconds
+        for timeout in self._open_timeouts:
+            due = timeout.when()
+            timeout.reschedule(ends_at if due is None else min(due, ends_at))
+
+    @contextlib.asynccontextmanager
+    async def _call_timeout(self, seconds: float) -> AsyncIterator[None]:
+        """Limits a call to some seconds, or to the end of this process if that comes first."""
+        async with asyncio.timeout(min(seconds, self._ends_at - self._clock())) as timeout:
+            self._open_timeouts.add(timeout)
+            try:
+                yield
+            finally:
+                self._open_timeouts.discard(timeout)
+
     async def find_route(
         self, host: str, path: str, call: str, caller_timeout: float | None
     ) -> Route:
@@ -383,7 +408,8 @@
         relay.last_event = call.last_event
         relay.prompt = self._dialect.read_prompt(call.headers)
         try:
-            async with asyncio.timeout(relay.deadline - self._clock()):
+            self._refuse_late(relay)
+            async with self._call_timeout(relay.deadline - self._clock()):
                 await self._run_attempts(relay)
         except TimeoutError:
             self._log_end(Event.CALL_FAILED, relay, outcome="deadline")
@@ -521,6 +547,16 @@
                 self._load_reporter.mark_changed()
                 self._call_queue.wake()
 
+    def _refuse_late(self, relay: Relay) -> None:
+        """Refuses a call that might be cut at the end of this process and must not run again.
+
+        :raises OverloadedError: another entry can take the call.
+        """
+        if not relay.route.repeatable and relay.deadline > self._ends_at:
+            raise OverloadedError(
+                "this process stops", step="place", retry_after=dispatch.MIN_RETRY_SECONDS
+            )
+
     def _refuse_held(self, relay: Relay) -> None:
         """Refuses a call that shares a part of its prompt with calls that crashed servers.
 
