Test the bound on relayed answers and the count of status checks

The share of waiting calls is now counted once for each choice of a server instead of once for each candidate; with 64 candidates and a long queue it was counted 64 times.

--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -6,10 +6,14 @@
 
 import pytest
 
+from tests.gateways import gateway
 from tests.platforms import own_address, wire
 from verbenashore import events, httpclient, httpserver
+from verbenashore.backendcall import Call
+from verbenashore.directory import BackendEntry
 from verbenashore.events import EventSplitter
-from verbenashore.exceptions import BackendError
+from verbenashore.exceptions import BackendError, OutcomeUnknownError
+from verbenashore.routing import Route, RouteKind, Share
 
 #: More than any limit on the memory of an instance allows a process to hold.
 TOO_MANY_BYTES = 128 << 20
@@ -56,6 +60,30 @@
     asyncio.run(check())
 
 
+class NoAnswer:
+    """Stands in for the response to a caller; fails if it is begun."""
+
+    started = False
+
+    async def send_with_headers(self, *_arguments):
+        """Fails: the answer has no end."""
+        raise AssertionError("an answer without an end was relayed")
+
+
+def test_an_answer_without_an_end_is_given_up_before_it_fills_the_memory():
+    async def check():
+        async with endless_server() as (address, sent), gateway() as entry:
+            server = BackendEntry("b", "s", address, "d", 1, False)
+            entry._list_updater.install([server], entry.clock())
+            route = Route("r", "h", "/", RouteKind.ONCE, 30.0, 30.0, (Share("s", 1),))
+            call = Call("c", "h", "GET", "/", "/", [], b"", 30.0)
+            with pytest.raises(OutcomeUnknownError):
+                await entry.relay(call, route, NoAnswer())
+            assert sent[0] < TOO_MANY_BYTES / 4
+
+    asyncio.run(check())
+
+
 def test_an_event_without_an_end_is_given_up_before_it_fills_the_memory():
     splitter = EventSplitter()
     with pytest.raises(BackendError):
--- a/tests/test_ratelimits.py
+++ b/tests/test_ratelimits.py
@@ -1,14 +1,17 @@
 """Requests to servers that state a rate, from many members that know each other by reports."""
 
+import asyncio
 import itertools
 import math
 
 import pytest
 
 from tests.loadtrees import Fleet
+from tests.test_prober import make_prober
 from verbenashore import dispatch
 from verbenashore.directory import BackendEntry, Directory
 from verbenashore.dispatch import Dispatcher, Ticket, Verdict
+from verbenashore.exceptions import BackendError
 from verbenashore.loadtable import Load, LoadTable, Report, Statement
 from verbenashore.loadtree import OwnLoad
 from verbenashore.ratelimits import (
@@ -320,3 +323,29 @@
     assert dispatcher.may_use_in_background(server)
     load_table.record_report(Report("m", "i", 1, {}, waiting_by_service={"notes": 1}), clock.now)
     assert not dispatcher.may_use_in_background(server)
+
+
+async def probes_within(dispatcher, seconds):
+    """Returns how many status checks of its suspected servers a prober starts in some seconds."""
+    prober = make_prober(dispatcher)
+    probed = []
+
+    async def record(server):
+        probed.append(server.name)
+
+    prober._probe = record
+    prober.record_error("s0", BackendError("refused", step="connect"))
+    running = asyncio.create_task(prober.run())
+    await asyncio.sleep(seconds)
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    return len(probed)
+
+
+@pytest.mark.parametrize(("rate", "most"), [(None, 100), (1.0, 2)])
+def test_status_checks_of_a_suspected_server_count_as_requests(rate, most):
+    dispatcher, load_table, _ = make_dispatcher([rate])
+    dispatcher.due_probes = lambda _now: dispatcher.candidates("notes")
+    count = asyncio.run(probes_within(dispatcher, 0.5))
+    assert 0 < count <= most
+    assert load_table.total("s0").started == (0 if rate is None else count)
--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -336,11 +336,12 @@
         """
         best_rank = (True, True)
         best: list[tuple[float, BackendEntry]] = []
+        share = self._waiting_share(ticket.service) if self.limits.any_limited else 1.0
         for server in self.candidates(ticket.service):
             if server.name in ticket.excluded or not self.may_use(server.name, now):
                 continue
             load = self._load_table.total(server.name)
-            if load.online >= server.slots or not self._rate_allows(server):
+            if load.online >= server.slots or not self.limits.may_send(server.name, share):
                 continue
             busy = load.online + load.batch >= server.slots
             rank = (busy, server.data_centre != self._data_centre)
@@ -384,13 +385,13 @@
         is_used = self._load_table.total(server.name).online > 0
         return self.limits.may_send(server.name, part=BACKGROUND_PART if is_used else 1.0)
 
-    def _rate_allows(self, server: BackendEntry) -> bool:
-        """Returns whether a server's rate leaves room for a call that this process has."""
-        if self.limits.per_second(server.name) is None:
-            return True
-        local = max(1, self.waiting_by_service()[server.service])
-        share = local / (local + self._load_table.remote_waiting(server.service))
-        return self.limits.may_send(server.name, share)
+    def _waiting_share(self, service: ServiceName) -> float:
+        """Returns the part of the calls waiting for a service that wait here.
+
+        A call that has just arrived counts as waiting.
+        """
+        local = max(1, self.waiting_by_service()[service])
+        return local / (local + self._load_table.remote_waiting(service))
 
     def _hold_seconds(self, service: ServiceName) -> float:
         return max(MIN_HOLD_SECONDS, self._hold_by_service.get(service, DEFAULT_HOLD_SECONDS))
--- a/verbenashore/ratelimits.py
+++ b/verbenashore/ratelimits.py
@@ -125,6 +125,11 @@
         server = self._by_name.get(name)
         return server.statement.per_second if server is not None else None
 
+    @property
+    def any_limited(self) -> bool:
+        """Whether any server has stated a rate lately."""
+        return bool(self._by_name)
+
     @property
     def limited(self) -> Iterable[BackendName]:
         """The servers that state a rate now."""
