--- a/tests/test_backendcall.py
+++ b/tests/test_backendcall.py
@@ -30,7 +30,7 @@
     return [server.name for server in told]
 
 
-async def run_call(server, on_leaving):
+async def run_call(server, on_leaving, on_rate=backendcall.ignore_rate):
     """Makes a call."""
     call = Call("c", "h", "GET", "/x", "/x", [], b"")
     async with backendcall.open_call(
@@ -41,13 +41,14 @@
         last_event=None,
         progress_timeout=5.0,
         on_leaving=on_leaving,
+        on_rate=on_rate,
     ) as opened:
         assert not [part async for part in opened.parts()]
 
 
-async def run_status_check(server, on_leaving):
+async def run_status_check(server, on_leaving, on_rate=backendcall.ignore_rate):
     """Makes a status check."""
-    await backendcall.check_status(wire.DIALECT, server, "/health", on_leaving)
+    await backendcall.check_status(wire.DIALECT, server, "/health", on_leaving, on_rate)
 
 
 @pytest.mark.parametrize("ask", [run_call, run_status_check])
@@ -67,27 +68,6 @@
     assert asyncio.run(leaving_told(answer, ask)) == told
 
 
-async def run_call_for_rate(server, on_rate):
-    """Makes a call; reports the rate that the server states."""
-    call = Call("c", "h", "GET", "/x", "/x", [], b"")
-    async with backendcall.open_call(
-        wire.DIALECT,
-        server,
-        call,
-        remaining_seconds=None,
-        last_event=None,
-        progress_timeout=5.0,
-        on_leaving=lambda _server: None,
-        on_rate=on_rate,
-    ):
-        pass
-
-
-async def run_check_for_rate(server, on_rate):
-    """Makes a status check; reports the rate that the server states."""
-    await backendcall.check_status(wire.DIALECT, server, "/health", lambda _server: None, on_rate)
-
-
 OWN = b"X-Verbenashore-Request-Id: c\r\n"
 
 
@@ -112,11 +92,11 @@
 def test_a_rate_is_stated_by_any_answer_and_ended_by_a_good_one_to_the_call(
     answer, of_call, of_check
 ):
-    for ask, expected in ((run_call_for_rate, of_call), (run_check_for_rate, of_check)):
+    for ask, expected in ((run_call, of_call), (run_status_check, of_check)):
         rates = []
 
-        async def ask_and_record(server, _on_leaving, ask=ask, rates=rates):
-            await ask(server, lambda _server, rate: rates.append(rate))
+        async def ask_and_record(server, on_leaving, ask=ask, rates=rates):
+            await ask(server, on_leaving, lambda _server, rate: rates.append(rate))
 
         asyncio.run(leaving_told(answer, ask_and_record))
         assert rates == expected
