--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -264,6 +264,7 @@
         (b"2.5", 2.5),
         (b"3", 3.0),
         (b" 0.04 ", 0.04),
+        (b"2.4000000000000004", 2.4000000000000004),
         (b"0", 0.0),
         (b"-1", None),
         (b"nan", None),
