--- a/review/harness.py
+++ b/review/harness.py
@@ -160,13 +160,14 @@
     :param arrivals: the id of each request that got one of its slots.
     :param gap: seconds between two events; differs by the part ``spread`` from run to run.
     :param prefill: longest time in seconds that it reads a prompt before it begins to answer.
+    :param pause: seconds by which the event in the middle is later.
     :param born: the Unix millisecond of the start of the current lifetime.
     """
 
     def __init__(self, record, name, service, address, slots=8, events=40, gap=0.05):
         self.record, self.name, self.service, self.address = record, name, service, address
         self.slots, self.events, self.gap = slots, events, gap
-        self.spread, self.prefill = 0.0, 0.0
+        self.spread, self.prefill, self.pause = 0.0, 0.0, 0.0
         self.state, self.listed = "ready", True
         self.runs, self.arrivals, self.busy = [], [], 0
         self.born = int(time.time() * 1000)
@@ -237,6 +238,8 @@
                 await asyncio.wait({closed, run}, return_when=asyncio.FIRST_COMPLETED)
                 if run.done():
                     run.result()
+                else:
+                    self.record(f"{self.name}: the connection of {call} is closed while it runs")
             finally:
                 self.busy -= 1
                 closed.cancel()
@@ -261,7 +264,7 @@
         writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
         gap = self.gap * random.uniform(1 - self.spread, 1 + self.spread)
         for number in range(after + 1, self.events + 1):
-            await asyncio.sleep(gap)
+            await asyncio.sleep(gap + (self.pause if number == self.events // 2 else 0.0))
             event = f"id: {number}\ndata: {call} {number}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
@@ -502,6 +505,25 @@
             await asyncio.sleep(0.3)
         return status
 
+    async def stream(self, call, name):
+        """Sends one streamed request on a kept connection; returns its answer."""
+        headers = {
+            "Host": HOST,
+            "Connection": "keep-alive",
+            REQUEST_ID: call,
+            "X-Verbenashore-Model": "m",
+            "X-Verbenashore-Token-Usage": "300,40",
+            "X-Verbenashore-Deadline-Ms": "5000",
+        }
+        began = time.time()
+        path = f"{STREAMS}{call}"
+        answer = await request(self.address(name, "front"), "POST", path, headers, b"x", 5.5)
+        whole = "the whole answer" if answer.complete else "no whole answer"
+        self.record(
+            f"client: {call} at {name}: {answer.status}, {whole}, {time.time() - began:.2f} s"
+        )
+        return answer
+
     async def results(self, job, after=0, wait=0, name="entry-0", timeout=4.0):
         """Reads one page of results; returns the answer."""
         headers = {"Host": HOST} | ({"X-Verbenashore-Wait-Ms": str(wait)} if wait else {})
