Show that one part of a prompt crashes all engines several times

All crashes of a wave count as one incident, so that the part is not held and the engines crash again when they come back.

--- a/review/harness.py
+++ b/review/harness.py
@@ -12,6 +12,7 @@
 import shutil
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -161,6 +162,8 @@
     :param gap: seconds between two events; differs by the part ``spread`` from run to run.
     :param prefill: longest time in seconds that it reads a prompt before it begins to answer.
     :param pause: seconds by which the event in the middle is later.
+    :param deadly_part: a part of prompts that crashes the engine as it begins to answer.
+    :param down_seconds: time after such a crash until it is back.
     :param born: the Unix millisecond of the start of the current lifetime.
     """
 
@@ -171,7 +174,10 @@
         self.state, self.listed = "ready", True
         self.runs, self.arrivals, self.busy = [], [], 0
         self.born = int(time.time() * 1000)
-        self._server, self._tasks = None, set()
+        self.deadly_part, self.down_seconds = "", 3.0
+        self.deadly_arrivals, self.crashes = [], []
+        self._server, self._tasks, self._writers = None, set(), set()
+        self._restart = None
 
     def entry(self):
         """Returns the engine's entry in the platform's list."""
@@ -203,15 +209,35 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def _crash(self):
+        """Resets all connections and is gone for some seconds; the list still shows it."""
+        if not self._server.is_serving():
+            return
+        self.crashes.append(time.time())
+        self.record(f"{self.name} crashes")
+        self._server.close()
+        for writer in list(self._writers):
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        self._restart = asyncio.ensure_future(self._come_back())
+
+    async def _come_back(self):
+        await asyncio.sleep(self.down_seconds)
+        await self.start()
+        self.record(f"{self.name} is back")
+
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
         self._tasks.add(task)
+        self._writers.add(writer)
         try:
             await self._answer(reader, writer)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             self._tasks.discard(task)
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, reader, writer):
@@ -248,6 +274,11 @@
 
     async def _run(self, call, headers, body, writer):
         after = int(headers.get("last-event-id", "0"))
+        parts = headers.get("x-verbenashore-prompt-prefix", "")
+        is_deadly = bool(self.deadly_part) and self.deadly_part in parts
+        if is_deadly:
+            self.deadly_arrivals.append(time.time())
+            self.record(f"{self.name} gets {call} with the part that crashes engines")
         prompt = int(headers.get("x-verbenashore-token-usage", "0").partition(",")[0])
         await asyncio.sleep(random.uniform(0.0, self.prefill) + prompt / TOKENS_PER_SECOND)
         self.runs.append((call, time.time(), after))
@@ -262,6 +293,9 @@
         }
         head = "".join(f"{name}: {value}\r\n" for name, value in lines.items())
         writer.write(f"HTTP/1.1 200 OK\r\n{head}\r\n".encode())
+        if is_deadly:
+            await self._crash()
+            return
         gap = self.gap * random.uniform(1 - self.spread, 1 + self.spread)
         for number in range(after + 1, self.events + 1):
             await asyncio.sleep(gap + (self.pause if number == self.events // 2 else 0.0))
@@ -505,7 +539,7 @@
             await asyncio.sleep(0.3)
         return status
 
-    async def stream(self, call, name):
+    async def stream(self, call, name, prompt="a0:200"):
         """Sends one streamed request on a kept connection; returns its answer."""
         headers = {
             "Host": HOST,
@@ -513,6 +547,7 @@
             REQUEST_ID: call,
             "X-Verbenashore-Model": "m",
             "X-Verbenashore-Token-Usage": "300,40",
+            "X-Verbenashore-Prompt-Prefix": f"{prompt},{call}:100",
             "X-Verbenashore-Deadline-Ms": "5000",
         }
         began = time.time()
