--- a/review/harness.py
+++ b/review/harness.py
@@ -23,8 +23,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 REQUEST_ID = "X-Verbenashore-Request-Id"
 METRICS_PORT = 9464
-#: Bytes of one chunk of an answer without end: about those of an event.
-CHUNK_BYTES = 64
+#: Bytes of one chunk of an answer without end: about those of a short event.
+CHUNK_BYTES = 32
 #: Prompt tokens that an engine reads in a second.
 TOKENS_PER_SECOND = 44_200.0
 HEALTHY, BROKEN, NOT_RUN = 0, 1, 2
