--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """One engine answers one request with bytes without end."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -62,5 +63,6 @@
 
 
 if __name__ == "__main__":
+    trouble = os.environ.get("TROUBLE", "1") != "0"
     record = HERE / "record.txt"
-    harness.main(play, harness.Deployment(record, engines=4, events=20, gap=0.03))
+    harness.main(play, harness.Deployment(record, engines=4, events=20, gap=0.03), trouble)
--- a/review/harness.py
+++ b/review/harness.py
@@ -691,15 +691,17 @@
     }
 
 
-def main(play, deployment):
+def main(play, deployment, trouble):
     """Runs a case; exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
 
     :param play: a coroutine function that gets the deployment and whether to make trouble, and
         returns what broke the rule, one line each.
     """
-    trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
+        # A script that is told to end must end its processes, too.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(110):
                 return await play(deployment, trouble)
@@ -709,7 +711,10 @@
 
     try:
         broken = asyncio.run(run())
-    except Exception as error:  # An error of the script itself shows nothing, either.
+    except (
+        Exception,
+        asyncio.CancelledError,
+    ) as error:  # An error of the script itself shows nothing, either.
         traceback.print_exc()
         print(f"could not run: {error!r}")
         sys.exit(NOT_RUN)
