--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """A client ends a job just after its items were taken over by a new leader."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -72,7 +73,10 @@
 
 
 if __name__ == "__main__":
+    trouble = os.environ.get("TROUBLE", "1") != "0"
     record = HERE / "record.txt"
     harness.main(
-        play, harness.Deployment(record, engines=8, events=40, gap=0.06, spread=0.03, prefill=0.1)
+        play,
+        harness.Deployment(record, engines=8, events=40, gap=0.06, spread=0.03, prefill=0.1),
+        trouble,
     )
