Read answers without end in short turns, and search them once

What callers saw: one engine answered one request with bytes without end in small chunks; no sound request at that entry was answered for 18 s and more.

Cause: the end of an event was searched in the whole buffer with each chunk, which is quadratic, and nothing gave way between the chunks of one read or between two reads of buffered data, so the event loop was held. Same class, found by looking at each place that reads what a peer sends: bodies of answers, lists and requests in small chunks (held the loop, and took twenty times their bytes as a list of parts), informational responses and comments without end (never given up by an item), errors of model engines (kept whole, without bound).

Now bytes are searched once, each task gives way after 16 KB or 64 pieces, bodies are one buffer, and what brings no event within 1 MB is given up.

Six new tests failed before.

--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -8,7 +8,7 @@
 
 from tests.gateways import gateway
 from tests.platforms import own_address, wire
-from verbenashore import events, httpclient, httpserver
+from verbenashore import engine, events, httpclient, httpserver
 from verbenashore.backendcall import Call
 from verbenashore.directory import BackendEntry
 from verbenashore.events import EventSplitter
@@ -21,14 +21,14 @@
 
 
 @contextlib.asynccontextmanager
-async def endless_server():
+async def endless_server(status=b"200 OK"):
     """Serves responses without an end; yields the address and the list of bytes that were read."""
     sent = [0]
 
     async def serve(reader, writer):
         with contextlib.closing(writer), contextlib.suppress(ConnectionError):
             await reader.readuntil(b"\r\n\r\n")
-            writer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+            writer.write(b"HTTP/1.1 %b\r\ntransfer-encoding: chunked\r\n\r\n" % status)
             while sent[0] < TOO_MANY_BYTES:
                 writer.write(CHUNK)
                 await writer.drain()
@@ -60,6 +60,17 @@
     asyncio.run(check())
 
 
+def test_an_error_of_an_engine_without_an_end_is_given_up_before_it_fills_the_memory():
+    async def check():
+        async with endless_server(b"500 Error") as (address, sent):
+            with pytest.raises(BackendError):
+                async for _ in engine.generate(address, engine.EngineCall("/", b"{}"), 5.0):
+                    pass
+            assert sent[0] < TOO_MANY_BYTES / 4
+
+    asyncio.run(check())
+
+
 class NoAnswer:
     """Stands in for the response to a caller; fails if it is begun."""
 
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -4,7 +4,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from verbenashore import events
 from verbenashore.events import NO_NUMBER, EventSplitter, parse_event
+from verbenashore.exceptions import BackendError
 
 
 def test_an_incomplete_event_is_held_back_until_it_is_complete():
@@ -64,3 +66,43 @@
 def test_an_event_number_that_fits_no_message_is_none(digits):
     assert parse_event(f"id: {digits}\ndata: a\n\n".encode()).number == NO_NUMBER
     assert parse_event(b"id: 999999999999999999\ndata: a\n\n").number == 999999999999999999
+
+
+class CountingPattern:
+    """A pattern that counts the bytes in which it was searched."""
+
+    def __init__(self, pattern):
+        self._pattern = pattern
+        self.searched_bytes = 0
+
+    def search(self, data, position=0):
+        """Searches from a position on."""
+        self.searched_bytes += len(data) - position
+        return self._pattern.search(data, position)
+
+
+def test_an_event_in_small_parts_is_not_searched_again_with_each_part(monkeypatch):
+    """Guards against an answer without end that stopped its entry for 18 s and more."""
+    pattern = CountingPattern(events.EVENT_END)
+    monkeypatch.setattr(events, "EVENT_END", pattern)
+    splitter = EventSplitter()
+    part, count = b"x" * 32, 2_000
+    for _ in range(count):
+        assert splitter.feed(part) == []
+    assert pattern.searched_bytes < 2 * count * len(part)
+
+
+def test_comments_without_an_end_are_given_up():
+    """Guards against a run of an item that gets bytes, and never an event, for good."""
+    splitter = EventSplitter()
+    comments = b": nothing\n\n" * 1_000
+    with pytest.raises(BackendError):
+        for _ in range(1 + events.MAX_EVENT_BYTES // len(comments)):
+            splitter.feed(comments)
+
+
+def test_comments_between_events_do_not_add_up():
+    splitter = EventSplitter()
+    part = b": nothing\n\n" * 1_000 + b"id: 1\ndata: a\n\n"
+    for _ in range(2 + 2 * events.MAX_EVENT_BYTES // len(part)):
+        assert len(splitter.feed(part)) == 1_001
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -5,6 +5,8 @@
 import socket
 import struct
 import time
+import tracemalloc
+from collections import Counter
 
 import pytest
 
@@ -160,3 +162,77 @@
     first = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
     refusal = b"HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n"
     assert asyncio.run(responses_to([first + refusal, first], close)) == [200, 200]
+
+
+async def tiny_chunks(writer):
+    """Writes chunks of one byte, as many as several reads hold."""
+    writer.write(HEAD + b"1\r\na\r\n" * 30_000 + b"0\r\n\r\n")
+    await writer.drain()
+
+
+def test_other_tasks_get_a_turn_while_a_response_in_tiny_chunks_is_read():
+    """Guards against an entry that answered nobody while it read one answer without end."""
+
+    async def run():
+        async def serve(reader, writer):
+            with contextlib.closing(writer):
+                await reader.readuntil(b"\r\n\r\n")
+                await tiny_chunks(writer)
+
+        turns = [0]
+
+        async def take_turns():
+            while True:
+                turns[0] += 1
+                await asyncio.sleep(0)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        taking = asyncio.create_task(take_turns())
+        parts_by_turn = Counter()
+        async with (
+            server,
+            httpclient.exchange(f"{host}:{port}", "GET", "/", b"", 5.0) as exchange,
+        ):
+            async for _ in exchange.parts():
+                parts_by_turn[turns[0]] += 1
+        taking.cancel()
+        return parts_by_turn
+
+    parts_by_turn = asyncio.run(run())
+    assert parts_by_turn.total() == 30_000
+    assert max(parts_by_turn.values()) <= 100
+
+
+def test_informational_responses_without_an_end_are_given_up():
+    async def informational_responses(writer):
+        with contextlib.suppress(ConnectionError):
+            for _ in range(1_000):
+                writer.write(b"HTTP/1.1 100 Continue\r\n\r\n" * 100)
+                await writer.drain()
+
+    with pytest.raises(BackendError) as raised:
+        read_parts(informational_responses)
+    assert raised.value.step == "head"
+
+
+def test_a_body_in_tiny_parts_takes_no_more_memory_than_its_bytes():
+    """Guards against a list of the parts, which took twenty times the bytes of the body."""
+    size = 400_000
+
+    class Parts:
+        """Stands in for an exchange whose body comes in parts of two bytes."""
+
+        @staticmethod
+        async def parts():
+            for number in range(size // 2):
+                yield number.to_bytes(3, "big")[1:]
+
+    tracemalloc.start()
+    try:
+        body = asyncio.run(httpclient.Exchange.read_body(Parts(), size))
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert len(body) == size
+    assert peak_bytes < 4 * size
--- a/verbenashore/engine.py
+++ b/verbenashore/engine.py
@@ -11,6 +11,8 @@
 
 LAST_EVENT = "[DONE]"
 STATE_TIMEOUT_SECONDS = 1.0
+#: Longest body in bytes of an error.
+MAX_ERROR_BYTES = 1 << 20
 #: Statuses by which an engine rejects the request itself, so that a retry would fail, too.
 REJECTED_STATUSES = frozenset({400, 413, 422})
 #: Statuses by which an engine reports that it did not run the request.
@@ -117,7 +119,7 @@
     body = _streaming_body(call)
     async with httpclient.exchange(address, "POST", call.path, body, progress_seconds) as exchange:
         if exchange.status != 200:
-            answer = b"".join([part async for part in exchange.parts()])
+            answer = await exchange.read_body(MAX_ERROR_BYTES)
             if exchange.status in REJECTED_STATUSES:
                 text = answer.decode("utf-8", "replace")
                 raise BackendRefusedError(text, address, exchange.status)
--- a/verbenashore/events.py
+++ b/verbenashore/events.py
@@ -6,12 +6,14 @@
 
 from verbenashore.exceptions import BackendError
 
-#: Longest event in bytes; one holds the text of a few tokens.
+#: Longest event in bytes, with the comments before it; one holds the text of a few tokens.
 MAX_EVENT_BYTES = 1 << 20
 #: A line ends with CR LF, LF or CR; no other character ends one.
 LINE_END = re.compile(r"\r\n|\n|\r")
 #: The end of an event: that of its last line and a blank line.
 EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
+#: Longest match of ``EVENT_END``.
+MAX_EVENT_END_BYTES = 4
 NO_NUMBER = -1
 #: Most digits of an event's number: more than a server counts, and fewer than fit into 64 bits.
 MAX_NUMBER_DIGITS = 18
@@ -41,15 +43,20 @@
 
 
 class EventSplitter:
-    """Buffers bytes until an event is complete."""
+    """Buffers bytes until an event is complete.
+
+    Only bytes that were not searched before are searched for the end of an event, however small the
+    parts are in which a long event is received.
+    """
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._bytes_without_content = 0
 
     @property
     def partial(self) -> bytes:
         """The bytes after the last complete event."""
-        return self._buffer
+        return bytes(self._buffer)
 
     @property
     def is_inside_event(self) -> bool:
@@ -59,17 +66,25 @@
     def feed(self, data: bytes) -> list[ServerEvent]:
         """Adds bytes and returns the events that are complete now.
 
-        :raises BackendError: if the incomplete event is longer than ``MAX_EVENT_BYTES``.
+        :raises BackendError: if more than ``MAX_EVENT_BYTES`` were received since the last event
+            that had content.
         """
+        # An end may begin in the bytes that were searched before.
+        position = max(0, len(self._buffer) - (MAX_EVENT_END_BYTES - 1))
         self._buffer += data
         events = []
-        while (match := EVENT_END.search(self._buffer)) is not None:
-            events.append(parse_event(self._buffer[: match.end()]))
-            self._buffer = self._buffer[match.end() :]
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise BackendError(
-                f"an event is longer than {MAX_EVENT_BYTES} bytes", step="events", peer=""
-            )
+        start = 0
+        while (match := EVENT_END.search(self._buffer, position)) is not None:
+            event = parse_event(bytes(self._buffer[start : match.end()]))
+            events.append(event)
+            if event.is_empty:
+                self._bytes_without_content += len(event.raw)
+            else:
+                self._bytes_without_content = 0
+            start = position = match.end()
+        del self._buffer[:start]
+        if len(self._buffer) + self._bytes_without_content > MAX_EVENT_BYTES:
+            raise BackendError(f"no event within {MAX_EVENT_BYTES} bytes", step="events", peer="")
         return events
 
 
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -715,19 +715,17 @@
                 f"status {head.status} when resuming the stream", step="head", peer=""
             )
         relay.set_step(Step.BODY, self._clock())
-        parts = []
-        size = 0
+        answer = bytearray()
         async for part in opened.parts():
             relay.received_at = self._clock()
             if opened.head.status == SUCCESS:
                 self._record_begun(relay)
-            size += len(part)
-            if size > MAX_ANSWER_BYTES:
+            answer += part
+            if len(answer) > MAX_ANSWER_BYTES:
                 raise BackendError(
                     f"the answer is longer than {MAX_ANSWER_BYTES} bytes", step="body", peer=""
                 )
-            parts.append(part)
-        body = b"".join(parts)
+        body = bytes(answer)
         if head.status >= 500 and not relay.is_last_attempt:
             raise BackendError(f"status {head.status}", step="head", peer="")
         if head.status in NOT_RUN_STATUSES:
--- a/verbenashore/httpclient.py
+++ b/verbenashore/httpclient.py
@@ -16,7 +16,9 @@
 from verbenashore.settings import parse_address
 
 CONNECT_TIMEOUT_SECONDS = 1.0
-READ_BYTES = 64 << 10
+READ_BYTES = misc.TURN_BYTES
+#: Informational responses before a response; a server sends one or two.
+MAX_INFORMATIONAL_RESPONSES = 16
 #: Longest body in bytes that :func:`request` reads, unless told otherwise: far above a page of
 #: a list, and a small part of the 128 MB that an instance may have.
 MAX_BODY_BYTES = 8 << 20
@@ -66,6 +68,7 @@
         self._waiting_since: float | None = None
         self._timer = self._loop.call_later(read_timeout, self._check_read)
         self._connection = h11.Connection(h11.CLIENT)
+        self._turn_taker = misc.TurnTaker()
         self._method = ""
         self.status = 0
         self.content_type = ""
@@ -109,9 +112,12 @@
 
     async def read_head(self) -> None:
         """Reads the status and the headers, past any informational responses."""
-        event = await self._next_event()
-        while isinstance(event, h11.InformationalResponse):
+        for _ in range(1 + MAX_INFORMATIONAL_RESPONSES):
             event = await self._next_event()
+            if not isinstance(event, h11.InformationalResponse):
+                break
+        if isinstance(event, h11.InformationalResponse):
+            raise BackendError("too many informational responses", step="head", peer=self._peer)
         if not isinstance(event, h11.Response):
             raise BackendError(
                 "the connection closed before the response", step="head", peer=self._peer
@@ -147,16 +153,15 @@
         :param max_bytes: the longest body that is read.
         :raises BackendError: if it is longer, or the connection closes before its end.
         """
-        parts = []
-        size = 0
+        body = bytearray()
         async for part in self.parts():
-            size += len(part)
-            if size > max_bytes:
+            # A list of the parts would take many times the bytes of parts that are small.
+            body += part
+            if len(body) > max_bytes:
                 raise BackendError(
                     f"the body is longer than {max_bytes} bytes", step="body", peer=self._peer
                 )
-            parts.append(part)
-        return b"".join(parts)
+        return bytes(body)
 
     async def _next_event(self) -> Any:
         while True:
@@ -165,6 +170,8 @@
             except h11.RemoteProtocolError as error:
                 raise BackendError(str(error), step="answer", peer=self._peer) from None
             if event is not h11.NEED_DATA:
+                size = len(event.data) if isinstance(event, h11.Data) else 0
+                await self._turn_taker.record(size)
                 return event
             if self.read_pause:
                 await asyncio.sleep(self.read_pause)
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -28,7 +28,7 @@
 BODY_TIMEOUT_SECONDS = 60.0
 #: Seconds for which a write waits for the caller to read, once the send buffer is full.
 WRITE_TIMEOUT_SECONDS = 20.0
-READ_BYTES = 64 << 10
+READ_BYTES = misc.TURN_BYTES
 #: Seconds after a stop in which requests that were on their way are still received.
 LAST_REQUEST_SECONDS = 0.25
 #: An instance may open 4,100 file descriptors; the others are for connections to backend servers.
@@ -287,6 +287,7 @@
         self._connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server_state.server_limits.limits.header_bytes
         )
+        self._turn_taker = misc.TurnTaker()
 
     @property
     def broke_off_unframed(self) -> bool:
@@ -383,17 +384,16 @@
         if self._connection.they_are_waiting_for_100_continue:
             interim_response = h11.InformationalResponse(status_code=100, headers=[])
             self._writer.write(self._connection.send(interim_response) or b"")
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > max_bytes:
+                body += event.data
+                if len(body) > max_bytes:
                     raise _too_large(max_bytes)
-                parts.append(bytes(event.data))
+                await self._turn_taker.record(len(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                return bytes(body)
             else:
                 raise ConnectionResetError
 
--- a/verbenashore/misc.py
+++ b/verbenashore/misc.py
@@ -10,6 +10,11 @@
 
 T = TypeVar("T")
 
+#: Bytes that a task parses before other tasks get a turn: a few milliseconds of work.
+TURN_BYTES = 16 << 10
+#: Bytes that stand for the fixed cost of one parsed piece, however small it is.
+PIECE_BYTES = 256
+
 
 def sha256_hex(data: bytes) -> str:
     """Returns the hex SHA-256 of some bytes, for uses where collisions must not occur."""
@@ -48,3 +53,21 @@
             return await work
     except TimeoutError:
         raise error from None
+
+
+class TurnTaker:
+    """Gives other tasks a turn while one parses what a peer sends.
+
+    A read of data that is already buffered doesn't wait, and one read may hold thousands of small
+    pieces, so without this a peer would decide for how long the event loop serves nobody else.
+    """
+
+    def __init__(self) -> None:
+        self._parsed_bytes = 0
+
+    async def record(self, size: int) -> None:
+        """Records a parsed piece of some bytes; gives way once ``TURN_BYTES`` are reached."""
+        self._parsed_bytes += PIECE_BYTES + size
+        if self._parsed_bytes >= TURN_BYTES:
+            self._parsed_bytes = 0
+            await asyncio.sleep(0)
