Leave a silent server only if another one can take the call

What callers saw: streams that ended in the middle after 0.15 s of silence of a service's only server, here at an entry that was being stopped.

Cause: on a route that allows another run, a call gave up a silent server without asking whether there is another; the server was excluded, none was left, and the begun answer ended.

Now the exchange asks when a read has timed out, and waits on while no other server may get calls. Calls that are answered whole take the same path: they got 502 and now wait until their deadline, which the only server may still meet.

--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -248,6 +248,7 @@
     on_leaving: LeavingHandler,
     on_rate: RateHandler = ignore_rate,
     on_connected: Callable[[], None] = lambda: None,
+    keeps_waiting: Callable[[], bool] = lambda: False,
 ) -> AsyncIterator[OpenCall]:
     """Sends a call and yields its answer; leaving the block early cancels the work at the server.
 
@@ -256,6 +257,7 @@
     :param on_leaving: called if the server states that it leaves, whether or not it ran the call.
     :param on_rate: called with the rate of requests that the server states.
     :param on_connected: called when the connection is established.
+    :param keeps_waiting: asked when a part has timed out; true to wait as long again.
     :raises BackendBusyError: the server states that it did not run the call.
     :raises BackendReplacedError: another server has the address; it did not run the call.
     :raises BackendError: with ``not_run`` if nothing was sent; otherwise the call may have run.
@@ -270,6 +272,7 @@
         headers,
         CONNECT_TIMEOUT_SECONDS,
         on_connected,
+        keeps_waiting,
     ) as exchange:
         head = dialect.read_head(exchange.status, exchange.headers)
         if head.call and head.call != call.id:
--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -355,6 +355,16 @@
         chosen = self._choice_random.sample(best, min(CHOICES, len(best)))
         return min(chosen, key=lambda pair: pair[0])[1]
 
+    def has_usable(self, service: ServiceName, excluded: set[BackendName], now: float) -> bool:
+        """Returns whether a service has a server beside the excluded ones that may get calls now.
+
+        A full one counts, since a call can wait for a slot there.
+        """
+        return any(
+            server.name not in excluded and self.may_use(server.name, now)
+            for server in self._directory.accepting_servers(service)
+        )
+
     def candidates(self, service: ServiceName) -> list[BackendEntry]:
         """Returns the servers that one choice compares: all, or of many a random sample."""
         servers = self._directory.accepting_servers(service)
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -138,6 +138,7 @@
     :param step_since: when the current step began.
     :param received_at: when something last came from that server.
     :param begun: whether a part of a successful answer has come in the latest attempt.
+    :param kept: whether the call has stayed at a silent server since no other could take it.
     """
 
     call: Call
@@ -160,6 +161,7 @@
     received_at: float | None = None
     prompt: Prompt = ()
     begun: bool = False
+    kept: bool = False
 
     def set_server(self, server: BackendName, step: Step, now: float) -> None:
         """Records the server that has the call from now on; "" while the call is queued."""
@@ -691,6 +693,7 @@
                 on_leaving=self._prober.record_leaving,
                 on_rate=self._prober.record_rate,
                 on_connected=lambda: relay.set_step(Step.HEAD, self._clock()),
+                keeps_waiting=lambda: self._keeps_waiting(relay, server),
             ) as opened:
                 relay.received_at = self._clock()
                 if route.kind is RouteKind.STREAM and opened.head.status == SUCCESS:
@@ -702,6 +705,28 @@
                 relay.runs -= 1
             raise
 
+    def _keeps_waiting(self, relay: Relay, server: BackendEntry) -> bool:
+        """Returns whether a call stays at a server that has been silent, as no other can take it.
+
+        It may be a pause; if not, the call ends at its deadline.
+        """
+        now = self._clock()
+        excluded = relay.ticket.excluded | {server.name}
+        if relay.respond.started:
+            excluded -= relay.refused_by
+        if self._dispatcher.has_usable(relay.ticket.service, excluded, now):
+            return False
+        if not relay.kept:
+            relay.kept = True
+            logs.info(
+                Event.CALL_KEPT,
+                call=relay.call.id,
+                server=server.name,
+                last_event=relay.last_event,
+                age=round(now - relay.arrived_at, 4),
+            )
+        return True
+
     def _record_begun(self, relay: Relay) -> None:
         if not relay.begun:
             relay.begun = True
--- a/verbenashore/httpclient.py
+++ b/verbenashore/httpclient.py
@@ -47,6 +47,8 @@
     timer for each would cost more than the read.
 
     :param read_timeout: seconds for which each read waits for more data.
+    :param keeps_waiting: asked whenever a read has had no data for that time; true to wait as long
+        again.
     :param read_pause: seconds to wait before each read, so that it gets more data at once.
     :param framed: whether the end of the body is known from the head; otherwise the body ends with
         the connection.
@@ -59,11 +61,13 @@
         writer: asyncio.StreamWriter,
         peer: str,
         read_timeout: float,
+        keeps_waiting: Callable[[], bool] = lambda: False,
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._peer = peer
         self._read_timeout = read_timeout
+        self._keeps_waiting = keeps_waiting
         self._loop = asyncio.get_running_loop()
         self._waiting_since: float | None = None
         self._timer = self._loop.call_later(read_timeout, self._check_read)
@@ -103,12 +107,14 @@
         self._timer.cancel()
         now = self._loop.time()
         due = (now if self._waiting_since is None else self._waiting_since) + self._read_timeout
-        if now >= due:
+        if now < due:
+            self._timer = self._loop.call_at(due, self._check_read)
+        elif self._keeps_waiting():
+            self._timer = self._loop.call_at(now + self._read_timeout, self._check_read)
+        else:
             self._reader.set_exception(
                 BackendError("timed out waiting for more data", step="read", peer=self._peer)
             )
-        else:
-            self._timer = self._loop.call_at(due, self._check_read)
 
     async def read_head(self) -> None:
         """Reads the status and the headers, past any informational responses."""
@@ -191,6 +197,7 @@
     headers: Headers = JSON_HEADERS,
     connect_seconds: float = CONNECT_TIMEOUT_SECONDS,
     on_connected: Callable[[], None] = lambda: None,
+    keeps_waiting: Callable[[], bool] = lambda: False,
 ) -> AsyncIterator[Exchange]:
     """Sends a request and yields its exchange; leaving the block closes the connection.
 
@@ -199,6 +206,7 @@
     :param read_timeout: seconds for which each read waits for more data.
     :param connect_seconds: timeout of the connection attempt.
     :param on_connected: called once the connection is open.
+    :param keeps_waiting: as in :class:`Exchange`.
     :raises BackendError: if connecting fails (the step is ``connect`` and nothing was sent), no
         response starts, or the connection fails later.
     """
@@ -210,7 +218,7 @@
     except OSError as error:
         raise BackendError(str(error), step="connect", peer=address, not_run=True) from None
     on_connected()
-    opened = Exchange(reader, writer, address, read_timeout)
+    opened = Exchange(reader, writer, address, read_timeout, keeps_waiting)
     try:
         opened.send(method, target, headers, body)
         await opened.read_head()
--- a/verbenashore/logs.py
+++ b/verbenashore/logs.py
@@ -80,6 +80,7 @@
     CALL_ENDED = 514
     CALL_CANCELLED = 515
     CALL_FAILED = 516
+    CALL_KEPT = 517
     JOB_ACCEPTED = 520
     JOB_REFUSED = 521
     JOB_ENDED = 522
