List no results of a job that has ended

What callers saw: after a change of leader and the end of a job, results that were "completed" with only the last part of their text.

Cause: the end of a job sets the count of an item's committed events to 0. A run that goes on after the events that an earlier leader had committed, and completes before the next scheduling pass, then sent the events after a negative position, and the table took them for the whole output, since both counts were 0. Ruled out: the commits of progress, which are ignored once a job has ended.

Now the outcome of an attempt that outlasts its job is ignored: what it would have to continue is gone.

Two new tests failed before: test_an_ended_job_lists_no_result_with_only_the_end_of_its_text and test_a_result_of_a_job_that_has_just_ended_is_whole_or_not_listed.

Old readers: no message or stored field changes, but replicas of earlier builds still list such a result.

--- a/tests/test_itemjobs.py
+++ b/tests/test_itemjobs.py
@@ -158,6 +158,17 @@
     assert listed_results(table) == [], "the committed start of its result was dropped"
 
 
+def test_an_ended_job_lists_no_result_with_only_the_end_of_its_text():
+    """Guards against results that had only the events after those that the end had dropped."""
+    table = ItemJobTable()
+    itemjobs.submit_job(table, submit_command(), 0.0)
+    commit_progress(table, 0, 0, ["a", "b"])
+    itemjobs.end_job(table, EndItemJob("j"))
+    rest = Attempt("j", 0, Outcome.COMPLETED, "c", after=0, events=1)
+    itemjobs.record_attempts(table, RecordAttempts([rest]))
+    assert listed_results(table) == []
+
+
 def test_run_times_of_completed_items_are_part_of_the_replicated_state():
     table = ItemJobTable()
     itemjobs.submit_job(table, submit_command(), 0.0)
--- a/tests/test_jobrunner.py
+++ b/tests/test_jobrunner.py
@@ -13,6 +13,7 @@
 from verbenashore.dispatch import Dispatcher
 from verbenashore.itemjobs import (
     CommitProgress,
+    EndItemJob,
     ItemJob,
     ItemJobTable,
     ItemSpec,
@@ -257,11 +258,19 @@
 
 
 def make_runner(
-    job_table, server, commit, metrics, routes=None, further_servers=(), quarantine=None
+    job_table,
+    server,
+    commit,
+    metrics,
+    routes=None,
+    further_servers=(),
+    quarantine=None,
+    is_serving=lambda: True,
 ):
-    """Returns a job runner whose process leads.
+    """Returns a job runner.
 
     :param routes: returns the routes in force; by default these include the items' route.
+    :param is_serving: returns whether its process leads.
     """
     directory = Directory()
     directory.install_list([server, *further_servers], 0.0)
@@ -279,7 +288,7 @@
         dispatcher,
         prober,
         clock,
-        lambda: True,
+        is_serving,
         lambda: job_table,
         routes or (lambda: index),
         commit,
@@ -342,6 +351,58 @@
     assert results[0].text == "\n".join(f"one\nmore {number}" for number in range(1, 41))
 
 
+async def results_of_an_ended_job(monkeypatch):
+    """Ends a job while an item, of which an earlier leader has committed a part, completes.
+
+    Returns the job's results.
+    """
+    monkeypatch.setattr(jobrunner, "COMMIT_INTERVAL_SECONDS", 0.05)
+    backend = SlowBackend(events=20, pause=0.01)
+    listener = await asyncio.start_server(backend.answer, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    server = BackendEntry("b", "s", f"{host}:{port}", "d", 4, False)
+    job_table = ItemJobTable()
+    spec = ItemSpec("i", "/b/x", [], b"", 1)
+    itemjobs.submit_job(job_table, SubmitItemJob("j", "r", "h", [spec], 18.0, 0.0, 3, 0, 60.0), 0.0)
+    itemjobs.commit_progress(job_table, CommitProgress([ProgressPart("j", 0, 0, ["x"] * 5, 5)]))
+    # The end of the job is applied when the run is over and before its outcome is proposed.
+    monkeypatch.setattr(
+        JobRunner,
+        "_record_outcome",
+        ending_first(job_table, JobRunner._record_outcome),
+    )
+
+    async def commit(command):
+        if isinstance(command, CommitProgress):
+            itemjobs.commit_progress(job_table, command)
+        else:
+            itemjobs.record_attempts(job_table, command)
+
+    runner = make_runner(job_table, server, commit, Metrics("ledger", ()))
+    running = asyncio.create_task(runner.run())
+    await wait_until(lambda: job_table.job_by_id["j"].ended)
+    await asyncio.sleep(0.1)
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    listener.close()
+    return itemjobs.results_page(job_table.job_by_id["j"], 0).results
+
+
+def ending_first(job_table, record_outcome):
+    """Wraps the recording of an outcome so that its job ends just before."""
+
+    async def end_and_record(runner, job, *arguments):
+        itemjobs.end_job(job_table, EndItemJob(job.id))
+        await record_outcome(runner, job, *arguments)
+
+    return end_and_record
+
+
+def test_a_result_of_a_job_that_has_just_ended_is_whole_or_not_listed(monkeypatch):
+    """Guards against results with only the events that came after a change of leader."""
+    assert asyncio.run(results_of_an_ended_job(monkeypatch)) == []
+
+
 async def items_by_server():
     """Runs two jobs; the server of the first one's only item says that it leaves.
 
--- a/verbenashore/itemjobs.py
+++ b/verbenashore/itemjobs.py
@@ -136,7 +136,7 @@
 
 
 class EndItemJob(msgspec.Struct, frozen=True, array_like=True, tag="end_item_job"):
-    """Ends a job at its caller's request; listed results stay listed."""
+    """Ends a job at its caller's request; listed results stay listed, and no more are added."""
 
     job: JobId
 
@@ -281,11 +281,13 @@
 def record_attempts(table: ItemJobTable, command: RecordAttempts) -> Done:
     """Adds the results of items that completed or failed for good; counts failed attempts.
 
-    An output that doesn't start right after the item's committed events is ignored.
+    An output that doesn't start right after the item's committed events is ignored, and so is the
+    outcome of an attempt that outlasted its job: the end of a job drops what was committed of its
+    items, which the attempt may have continued.
     """
     for attempt in command.attempts:
         job = table.job_by_id.get(attempt.job)
-        if job is None or job.items[attempt.item].listed:
+        if job is None or job.ended or job.items[attempt.item].listed:
             continue
         item = job.items[attempt.item]
         if attempt.outcome is Outcome.COMPLETED:
@@ -386,8 +388,7 @@
     item.listed = True
     item.text = ""
     job.results.append(ItemResult(item.spec.id, completed, text))
-    if not job.ended:
-        _release_tokens(table, job.route, item.spec.tokens)
+    _release_tokens(table, job.route, item.spec.tokens)
 
 
 def _release_tokens(table: ItemJobTable, route: str, tokens: int) -> None:
