Replace a dead bulk link whatever is sent on it

Cause: documents travel over bulk links. Silence there is excused until the bytes sent so far have been transferred, and that moment was taken anew at each check, at which each message had pushed it to now or later: the link's own pings and the requests that were repeated because nothing came. A dead link renewed its own excuse. Ruled out: fetches that go on from a part that is no longer kept, and heartbeats that don't tell of the version (document_delayed names the version and says that nothing came).

Now the time counts from when the oldest unanswered ping has been transferred: what is sent later is behind it. A link that is excused and a document that is overdue are logged, and the time for which a version is wanted is a gauge.

--- a/tests/test_fetching.py
+++ b/tests/test_fetching.py
@@ -2,15 +2,18 @@
 
 import asyncio
 
-from verbenashore import transfer
+from verbenashore import fetching, logs, transfer
 from verbenashore.exceptions import LinkSilentError
 from verbenashore.fetching import Fetcher
+from verbenashore.logs import Event
 from verbenashore.transfer import Document, Part
 
 
 class FakeReplica:
     """A replica, its link and its group; gives its answers in turn, or times out without any."""
 
+    leader = "leader"
+
     def __init__(self, *answers):
         self.answers = list(answers)
         self.calls = 0
@@ -61,3 +64,38 @@
     assert asyncio.run(fetch(FakeReplica(), FakeReplica(damaged, part(1, b"table")), 3.0)) == [
         b"table"
     ]
+
+
+def test_a_document_that_is_wanted_for_too_long_is_logged_and_measured(monkeypatch):
+    """Nothing told of entries that could not fetch a version for the rest of their lives."""
+    monkeypatch.setattr(fetching, "OVERDUE_SECONDS", 0.8)
+    logged = []
+    monkeypatch.setattr(logs, "warning", lambda event, **fields: logged.append((event, fields)))
+
+    async def run():
+        fetcher = Fetcher(FakeReplica(), FakeReplica(), asyncio.get_running_loop().time)
+        fetcher.set_handler(Document.CONFIGURATION, lambda version, data: None)
+        assert fetcher.seconds_wanted(Document.CONFIGURATION) == 0.0
+        fetcher.request_version(Document.CONFIGURATION, 7)
+        await asyncio.sleep(2.5)
+        seconds = fetcher.seconds_wanted(Document.CONFIGURATION)
+        await fetcher.close()
+        return seconds
+
+    assert asyncio.run(run()) > 2.0
+    overdue = [fields for event, fields in logged if event is Event.DOCUMENT_OVERDUE]
+    assert [(fields["wanted"], fields["version"]) for fields in overdue] == [(7, -1)]
+
+
+def test_a_fetched_document_is_no_longer_wanted():
+    async def run():
+        leader = FakeReplica(part(1, b"table"))
+        fetcher = Fetcher(leader, leader, asyncio.get_running_loop().time)
+        fetcher.set_handler(Document.CONFIGURATION, lambda version, data: None)
+        fetcher.request_version(Document.CONFIGURATION, 1)
+        await asyncio.sleep(0.2)
+        seconds = fetcher.seconds_wanted(Document.CONFIGURATION)
+        await fetcher.close()
+        return seconds
+
+    assert asyncio.run(run()) == 0.0
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import time
 
 import msgspec
@@ -9,12 +10,15 @@
 import zmq
 import zmq.asyncio
 
+from standins.relay import Relay
 from tests.platforms import own_address
-from verbenashore import files, link, logs
+from verbenashore import files, link, logs, transfer
 from verbenashore.exceptions import LinkSilentError
 from verbenashore.link import Link, Server
 from verbenashore.logs import Event
 from verbenashore.messages import AskStatus, Sender
+from verbenashore.settings import parse_address
+from verbenashore.transfer import Backlog
 
 
 def sender():
@@ -160,3 +164,77 @@
         assert not stopped
 
     asyncio.run(check())
+
+
+async def seconds_until_answered(messages, pause, first=()):
+    """Stalls the connection of a bulk link for good; returns when a call is answered again.
+
+    :param messages: what is sent again and again, one call after the other.
+    :param pause: seconds between two calls, each of which waits as long for its answer.
+    :param first: messages that are sent just after the connection has stalled.
+    """
+
+    async def answer(_envelope, reply):
+        reply(files.Done(), True)
+
+    context = zmq.asyncio.Context()
+    target, address = own_address(), own_address()
+    server = Server(context, target, sender, time.monotonic, answer)
+    serving = asyncio.create_task(server.run())
+    relay = Relay(parse_address(target))
+    endpoint = parse_address(address)
+    listening = await asyncio.start_server(relay.serve_connection, endpoint.host, endpoint.port)
+    bulk = Link(context, address, sender, time.monotonic, Backlog(time.monotonic))
+    assert await bulk.call(AskStatus(), 2.0) == files.Done()
+    relay.stall_connections()
+    stalled_at = time.monotonic()
+    for message in first:
+        bulk.post(message)
+    answered_at = None
+    for message in itertools.cycle(messages):
+        with contextlib.suppress(LinkSilentError):
+            await bulk.call(message, pause)
+            answered_at = time.monotonic()
+        if answered_at is not None or time.monotonic() > stalled_at + 8.0:
+            break
+    await bulk.close()
+    serving.cancel()
+    await asyncio.gather(serving, return_exceptions=True)
+    listening.close()
+    context.destroy(linger=0)
+    return None if answered_at is None else answered_at - stalled_at
+
+
+def long_message(size):
+    """Returns a message of about some bytes."""
+    return transfer.Part(1, 0, size, b"x" * size)
+
+
+@pytest.mark.parametrize(
+    ("message", "pause"),
+    [(AskStatus(), 1.0), (AskStatus(), 0.2), (long_message(400_000), 0.2)],
+    ids=["small", "small-often", "long-often"],
+)
+def test_a_dead_bulk_link_is_replaced_whatever_is_sent_on_it(message, pause):
+    """Guards against entries that routed by an old version for good: their requests for the newer
+    one went to a connection that was dead, and each counted as a reason to wait longer.
+    """
+    seconds = asyncio.run(seconds_until_answered([message], pause))
+    assert seconds is not None
+    assert seconds < link.SILENT_SECONDS + 2 * link.PING_INTERVAL_SECONDS + 2 * pause + 0.5
+
+
+def test_a_bulk_link_has_the_time_of_what_was_sent_before_its_ping():
+    size = int(2.0 * transfer.LOWEST_BYTES_PER_SECOND)
+    seconds = asyncio.run(seconds_until_answered([AskStatus()], 0.2, [long_message(size)]))
+    assert seconds is not None
+    assert 2.0 + link.SILENT_SECONDS - 0.2 < seconds < 2.0 + link.SILENT_SECONDS + 1.4
+
+
+def test_a_link_that_is_excused_for_its_backlog_is_logged(monkeypatch):
+    logged = []
+    monkeypatch.setattr(logs, "info", lambda event, **fields: logged.append((event, fields)))
+    size = int(2.0 * transfer.LOWEST_BYTES_PER_SECOND)
+    asyncio.run(seconds_until_answered([AskStatus()], 0.2, [long_message(size)]))
+    excused = [fields for event, fields in logged if event is Event.LINK_EXCUSED]
+    assert len(excused) == 1 and excused[0]["silent"] > link.SILENT_SECONDS
--- a/verbenashore/fetching.py
+++ b/verbenashore/fetching.py
@@ -20,6 +20,9 @@
 NEARBY_PART_TIMEOUT_SECONDS = 0.5
 #: Delay before a failed request for a part is repeated.
 RETRY_DELAY_SECONDS = 0.1
+#: Seconds after which a document that is still wanted is logged as overdue: within that time, a new
+#: configuration is to be in force everywhere.
+OVERDUE_SECONDS = 2.0
 
 #: Called with the version and the content of a fetched document.
 DocumentHandler = Callable[[int, bytes], None]
@@ -40,6 +43,7 @@
         self._handler_by_document: dict[Document, DocumentHandler] = {}
         self._wanted_version_by_document: dict[Document, int] = {}
         self._fetched_version_by_document: dict[Document, int] = {}
+        self._wanted_since_by_document: dict[Document, float] = {}
         self._task_by_document: dict[Document, asyncio.Task[None]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
 
@@ -51,6 +55,11 @@
         """Returns the version that was fetched last; negative if there is none."""
         return self._fetched_version_by_document.get(document, -1)
 
+    def seconds_wanted(self, document: Document) -> float:
+        """Returns for how long a version that isn't here has been wanted; 0 if it is here."""
+        since = self._wanted_since_by_document.get(document)
+        return 0.0 if since is None else self._clock() - since
+
     def request_version(self, document: Document, version: int) -> None:
         """Starts to fetch a version of a document, unless it was fetched last.
 
@@ -75,6 +84,8 @@
 
     async def _fetch(self, document: Document) -> None:
         partial, started, failures = PartialDocument(), self._clock(), 0
+        self._wanted_since_by_document[document] = started
+        is_overdue = False
         while self.fetched_version(document) != self._wanted_version_by_document[document]:
             request = transfer.next_request(
                 partial, document, self._wanted_version_by_document[document]
@@ -89,6 +100,7 @@
                     complete_document, partial = partial, PartialDocument()
                     self._deliver(document, complete_document, started)
                     started, failures = self._clock(), 0
+                    self._wanted_since_by_document[document] = started
             except (VerbenaError, msgspec.DecodeError) as error:
                 if not failures:
                     logs.warning(
@@ -100,7 +112,20 @@
                         error=str(error),
                     )
                 failures += 1
+                if not is_overdue and self.seconds_wanted(document) > OVERDUE_SECONDS:
+                    is_overdue = True
+                    logs.warning(
+                        Event.DOCUMENT_OVERDUE,
+                        document=document,
+                        wanted=self._wanted_version_by_document[document],
+                        version=self.fetched_version(document),
+                        seconds=round(self.seconds_wanted(document), 3),
+                        failures=failures,
+                        leader=self._control.leader,
+                        nearby=self.nearby_replica,
+                    )
                 await asyncio.sleep(RETRY_DELAY_SECONDS)
+        del self._wanted_since_by_document[document]
 
     def _deliver(self, document: Document, partial: PartialDocument, started: float) -> None:
         data = transfer.decompress(bytes(partial.data))
--- a/verbenashore/link.py
+++ b/verbenashore/link.py
@@ -150,6 +150,9 @@
         self._used = asyncio.Event()
         self._is_connected = True
         self._backlog = backlog
+        #: When the oldest unanswered ping has been transferred; None if none is unanswered.
+        self._ping_transferred_at: float | None = None
+        self._is_excused = False
         self._epoch = ""
         self._tasks: set[asyncio.Task[Any]] = set()
         self._receive_task = misc.spawn(self._receive(self._socket), self._tasks)
@@ -264,12 +267,14 @@
         data = _encoder.encode(Envelope(call_id, True, self._sender(), body))
         if self._backlog is not None:
             self._backlog.add(len(data))
+            if isinstance(body, Ping) and self._ping_transferred_at is None:
+                self._ping_transferred_at = self._backlog.busy_until
         _send_nonblocking(self._socket, [data])
 
     async def _receive(self, socket: zmq.asyncio.Socket) -> None:
         while True:
             data = await socket.recv()
-            self._received_at = self._clock()
+            self._record_received()
             envelope = _decode(data, self.address)
             if envelope is None:
                 continue
@@ -291,6 +296,11 @@
                     age=age,
                 )
 
+    def _record_received(self) -> None:
+        self._received_at = self._clock()
+        self._ping_transferred_at = None
+        self._is_excused = False
+
     def _record_abandoned(self, call_id: int, body: Body, sent_at: float) -> None:
         self._abandoned_by_call[call_id] = (type(body).__name__, sent_at)
         if len(self._abandoned_by_call) > MAX_ABANDONED_CALLS:
@@ -315,12 +325,24 @@
             if self._clock() - min(self._received_at, self._sent_at) >= PING_INTERVAL_SECONDS / 2:
                 self._send_message(0, Ping())
             await asyncio.sleep(PING_INTERVAL_SECONDS)
-            silent_since = self._received_at
-            if self._backlog is not None:
-                # A ping queues behind the data that was sent before it.
-                silent_since = max(silent_since, self._backlog.busy_until)
-            if self._clock() - silent_since > SILENT_SECONDS:
+            if self._clock() - self._received_at <= SILENT_SECONDS:
+                continue
+            # A ping queues behind the data that was sent before it.  Only the oldest one counts:
+            # what was sent after it delays neither it nor its answer.
+            transferred_at = self._ping_transferred_at
+            if transferred_at is None:
+                transferred_at = self._received_at
+            if self._clock() - transferred_at > SILENT_SECONDS:
                 await self._reconnect()
+            elif not self._is_excused:
+                self._is_excused = True
+                logs.info(
+                    Event.LINK_EXCUSED,
+                    peer=self.address,
+                    calls=len(self._answers_by_call),
+                    silent=round(self._clock() - self._received_at, 3),
+                    until=round(transferred_at + SILENT_SECONDS - self._clock(), 3),
+                )
 
     async def _close_until_used(self) -> None:
         """Closes the connection and waits for the next message, which opens another one."""
@@ -341,7 +363,7 @@
     def _open(self) -> None:
         self._socket = self._connect()
         self._is_connected = True
-        self._received_at = self._clock()
+        self._record_received()
         self._receive_task = misc.spawn(self._receive(self._socket), self._tasks)
         self._epoch = ""
 
--- a/verbenashore/view.py
+++ b/verbenashore/view.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -60,6 +61,10 @@
         self.fetcher = Fetcher(control, process.links, process.clock)
         self.fetcher.set_handler(Document.CONFIGURATION, self._receive_configuration)
         self.fetcher.set_handler(Document.MEMBERS, self._receive_members)
+        for document in Document:
+            process.metrics.set_gauge(
+                f"{document.value}.seconds_wanted", partial(self.fetcher.seconds_wanted, document)
+            )
         self.newest_revision = Revision(0)
         self._wake = asyncio.Event()
         self.state = MemberState.SERVING
