Join an item's events only to those that their run went on from

What callers saw, by the users' record: texts that change from one run to another, both from one store machine, at an event after which no run was asked to go on.

Cause, shown by a test: a leader that loses its lease without its role stops its runs and drops their progress, while a commit of that progress is in its log. It has the lease again in the same term and starts the items from what is committed; then the old commit is applied, and the text after it is cut from the new run by count alone. Ruled out: a change of leader (one machine), the end of the job (whole texts). That the users' cases have this cause is suspected.

Now a chain of runs has an id, and a commit is taken only if nothing was committed since its chain began or the last events are its own; the leader starts an item anew if its run can't be taken any more. Commands of earlier builds are judged as before.

--- a/tests/test_itemjobs.py
+++ b/tests/test_itemjobs.py
@@ -169,6 +169,42 @@
     assert listed_results(table) == []
 
 
+def commit_of_chain(chain, base, after, texts):
+    """Returns a commit of progress by a chain of runs, of events that are numbered from 1."""
+    part = ProgressPart("j", 0, after, texts, after + len(texts), chain, base)
+    return CommitProgress([part])
+
+
+def test_events_are_joined_only_to_those_that_their_run_went_on_from():
+    """Guards against a text that goes on with a run that was asked for earlier events, too."""
+    table = ItemJobTable()
+    itemjobs.submit_job(table, submit_command(), 0.0)
+    item = table.job_by_id["j"].items[0]
+    itemjobs.commit_progress(table, commit_of_chain("first", 0, 0, ["a", "b"]))
+    itemjobs.commit_progress(table, commit_of_chain("second", 0, 2, ["c"]))
+    rest = Attempt("j", 0, Outcome.COMPLETED, "c\nd", after=2, events=2, chain="second", base=0)
+    itemjobs.record_attempts(table, RecordAttempts([rest]))
+    assert (item.text, item.listed) == ("a\nb", False)
+    itemjobs.commit_progress(table, commit_of_chain("first", 0, 2, ["c"]))
+    itemjobs.commit_progress(table, commit_of_chain("third", 3, 3, ["d"]))
+    assert item.text == "a\nb\nc\nd"
+    itemjobs.commit_progress(table, commit_of_chain("first", 0, 4, ["e"]))
+    assert item.text == "a\nb\nc\nd"
+
+
+def test_commands_of_earlier_builds_are_judged_by_the_count_of_events_alone():
+    """They name no chain; a leader of an earlier build must be able to complete items."""
+    table = ItemJobTable()
+    itemjobs.submit_job(table, submit_command(), 0.0)
+    itemjobs.commit_progress(table, commit_of_chain("first", 0, 0, ["a", "b"]))
+    commit_progress(table, 0, 2, ["c"])
+    record_attempt(table, 0, Outcome.COMPLETED, "wrong")
+    assert listed_results(table) == []
+    rest = Attempt("j", 0, Outcome.COMPLETED, "d", after=3, events=1)
+    itemjobs.record_attempts(table, RecordAttempts([rest]))
+    assert table.job_by_id["j"].results[0].text == "a\nb\nc\nd"
+
+
 def test_run_times_of_completed_items_are_part_of_the_replicated_state():
     table = ItemJobTable()
     itemjobs.submit_job(table, submit_command(), 0.0)
--- a/verbenashore/itemjobs.py
+++ b/verbenashore/itemjobs.py
@@ -10,7 +10,7 @@
 
 from verbenashore.files import Done
 from verbenashore.transfer import PAGE_BYTES
-from verbenashore.types import JobId
+from verbenashore.types import ChainId, JobId
 
 #: Assumed time in seconds of an item's whole run, before any has completed.
 INITIAL_RUN_SECONDS = 5.0
@@ -18,6 +18,8 @@
 RUN_WEIGHT = 0.1
 #: Upper bound on the factor by which pauses for online calls are taken to lengthen a run.
 MAX_INTERRUPTION_FACTOR = 2.0
+#: The chain of an item without committed events, and of commands of earlier builds.
+NO_CHAIN = ChainId("")
 #: Lower bound on the expected remaining run time of an item, as a share of a whole run.
 MIN_REMAINING_SHARE = 0.1
 
@@ -97,6 +99,8 @@
     :param after: how many of the item's events are committed already.
     :param events: the number of events in ``text``.
     :param timing: the time that the item took under this leader; None if it isn't known.
+    :param chain: the chain of runs that produced the events.
+    :param base: how many events were committed when that chain began.
     """
 
     job: JobId
@@ -106,6 +110,8 @@
     after: int = 0
     events: int = 0
     timing: RunTiming | None = None
+    chain: ChainId = NO_CHAIN
+    base: int = 0
 
 
 class RecordAttempts(msgspec.Struct, frozen=True, array_like=True, tag="record_attempts"):
@@ -120,6 +126,8 @@
     :param after: how many of its events are committed already.
     :param texts: the data of each further event.
     :param last_event: the number of the last of them.
+    :param chain: the chain of runs that produced them.
+    :param base: how many events were committed when that chain began.
     """
 
     job: JobId
@@ -127,6 +135,8 @@
     after: int
     texts: list[str]
     last_event: int
+    chain: ChainId = NO_CHAIN
+    base: int = 0
 
 
 class CommitProgress(msgspec.Struct, frozen=True, array_like=True, tag="keep_progress"):
@@ -173,6 +183,7 @@
         listed or the job has ended.
     :param events: the number of committed events.
     :param last_event: the number of the last committed event.
+    :param chain: the chain of runs that produced the last committed events.
     """
 
     spec: ItemSpec
@@ -181,6 +192,17 @@
     text: str = ""
     events: int = 0
     last_event: int | None = None
+    chain: ChainId = NO_CHAIN
+
+    def is_extended_by(self, chain: ChainId, base: int) -> bool:
+        """Returns whether the runs of a chain went on after the last committed event.
+
+        That is so if they began after it, or if it is their own. Otherwise, the events of another
+        chain were committed after these runs had begun.
+
+        :param base: how many events were committed when the chain began.
+        """
+        return base == self.events or chain in (NO_CHAIN, self.chain)
 
 
 class ItemJob(msgspec.Struct):
@@ -281,9 +303,10 @@
 def record_attempts(table: ItemJobTable, command: RecordAttempts) -> Done:
     """Adds the results of items that completed or failed for good; counts failed attempts.
 
-    An output that doesn't start right after the item's committed events is ignored, and so is the
-    outcome of an attempt that outlasted its job: the end of a job drops what was committed of its
-    items, which the attempt may have continued.
+    An output is ignored unless it starts right after the item's committed events and its runs went
+    on after those (:meth:`ItemState.is_extended_by`).  So is the outcome of an attempt that
+    outlasted its job: the end of a job drops what was committed of its items, which the attempt may
+    have continued.
     """
     for attempt in command.attempts:
         job = table.job_by_id.get(attempt.job)
@@ -291,7 +314,8 @@
             continue
         item = job.items[attempt.item]
         if attempt.outcome is Outcome.COMPLETED:
-            if attempt.after == item.events:
+            is_next = attempt.after == item.events
+            if is_next and item.is_extended_by(attempt.chain, attempt.base):
                 _add_result(
                     table, job, item, True, _joined_text(item, attempt.text, attempt.events)
                 )
@@ -307,17 +331,19 @@
 def commit_progress(table: ItemJobTable, command: CommitProgress) -> Done:
     """Stores the progress of items of open jobs.
 
-    A part that doesn't start right after the item's committed events is ignored.
+    A part is ignored in the same cases as an output by :func:`record_attempts`.
     """
     for part in command.items:
         job = table.job_by_id.get(part.job)
         if job is None or not job.open:
             continue
         item = job.items[part.item]
-        if not item.listed and part.after == item.events:
+        is_next = part.after == item.events and item.is_extended_by(part.chain, part.base)
+        if is_next and not item.listed:
             item.text = _joined_text(item, "\n".join(part.texts), len(part.texts))
             item.events += len(part.texts)
             item.last_event = part.last_event
+            item.chain = part.chain
     return Done()
 
 
@@ -331,7 +357,7 @@
         waiting = sum(item.spec.tokens for item in job.items if not item.listed)
         _release_tokens(table, job.route, waiting)
         for item in job.items:
-            item.text, item.events, item.last_event = "", 0, None
+            item.text, item.events, item.last_event, item.chain = "", 0, None, NO_CHAIN
     return Done()
 
 
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -34,7 +34,7 @@
 from verbenashore.prober import Prober
 from verbenashore.quarantine import Quarantine
 from verbenashore.routing import RouteIndex
-from verbenashore.types import BackendName, Clock, JobId, Prompt, ServiceName
+from verbenashore.types import BackendName, ChainId, Clock, JobId, Prompt, ServiceName
 
 #: Seconds without data after which an attempt fails and the item moves to another server.
 STALL_SECONDS = 1.0
@@ -65,9 +65,9 @@
 
 
 class Progress(msgspec.Struct):
-    """What an item has produced so far, and how long that took under this leader.
+    """What a chain of runs of an item has produced so far, and how long that took.
 
-    :param earlier_events: how many events an earlier leader had committed.
+    :param base: how many events were committed when the chain began, by other chains.
     :param texts: the data of each event after those.
     :param last_event: the number of the last event; None if there is none.
     :param not_before: the earliest time of the next attempt.
@@ -77,9 +77,10 @@
     :param prompt: the parts of the item's prompt.
     :param failed_at: servers at which an attempt failed; they are excluded until an attempt has
         failed at all servers of the service.
+    :param chain: identifies these runs in what is committed of them.
     """
 
-    earlier_events: int = 0
+    base: int = 0
     texts: list[str] = msgspec.field(default_factory=list)
     last_event: int | None = None
     not_before: float = float("-inf")
@@ -88,26 +89,33 @@
     stopped_at: float | None = None
     prompt: Prompt = ()
     failed_at: set[BackendName] = msgspec.field(default_factory=set)
+    chain: ChainId = msgspec.field(default_factory=lambda: ChainId(misc.random_id("chain")))
 
     @property
     def events(self) -> int:
         """The number of all events so far."""
-        return self.earlier_events + len(self.texts)
+        return self.base + len(self.texts)
 
     @property
     def timing(self) -> RunTiming:
-        """The number of the item's events under this leader, and the time that they took.
-
-        Events that an earlier leader had committed are left out.
-        """
+        """The number of the chain's events, and the time that they took."""
         return RunTiming(len(self.texts), self.run_seconds, self.paused_seconds)
 
     def texts_after(self, committed: int) -> list[str]:
         """Returns the data of the events that aren't committed yet.
 
-        :param committed: how many events are committed, those of earlier leaders included.
+        :param committed: how many events are committed, those of other chains included; at least
+            the base, which :meth:`is_superseded` tells.
+        """
+        return self.texts[committed - self.base :]
+
+    def is_superseded(self, item: ItemState) -> bool:
+        """Returns whether an item's committed events aren't those that the chain goes on from.
+
+        A commit of another chain may be applied late: it was proposed before a leader lost its
+        lease, and this chain began when the leader had its lease again.
         """
-        return self.texts[committed - self.earlier_events :]
+        return not item.is_extended_by(self.chain, self.base)
 
     def record_start(self, now: float) -> None:
         """Records the start of a run."""
@@ -228,7 +236,10 @@
         self._start_waiting()
 
     def _stop_ended(self) -> None:
-        """Stops the runs of jobs that have ended; drops the state of removed servers and jobs."""
+        """Stops the runs of jobs that have ended, and those that go on from outdated events.
+
+        Drops the state of removed servers and jobs.
+        """
         for name in self._yielded_at.keys() - self._directory.by_name.keys():
             del self._yielded_at[name]
         jobs = self._job_table().job_by_id
@@ -236,6 +247,9 @@
             job = jobs.get(run.key[0])
             if job is None or not job.open:
                 self._stop_run(run, "job ended")
+            elif self._progress_by_key[run.key].is_superseded(job.items[run.key[1]]):
+                logs.info(Event.ITEM_SUPERSEDED, **_log_fields(run))
+                self._stop_run(run, "superseded")
         for key in [key for key in self._progress_by_key if key[0] not in jobs]:
             del self._progress_by_key[key]
 
@@ -329,9 +343,9 @@
         return progress is not None and progress.not_before > now
 
     def _progress_of(self, key: ItemKey, item: ItemState) -> Progress:
-        """Returns the progress of an item, which starts from what an earlier leader committed."""
+        """Returns the progress of an item, which starts from what other chains have committed."""
         progress = self._progress_by_key.get(key)
-        if progress is None:
+        if progress is None or progress.is_superseded(item):
             prompt = self._dialect.read_prompt(_headers(item))
             progress = Progress(item.events, last_event=item.last_event, prompt=prompt)
             self._progress_by_key[key] = progress
@@ -436,11 +450,21 @@
             await self._commit(itemjobs.RecordAttempts([Attempt(job.id, index, outcome)]))
             return
         for _ in range(MAX_RESULT_COMMITS):
+            if progress.is_superseded(item):
+                return  # The item runs again, from what is committed.
             committed = item.events
             new_texts = progress.texts_after(committed)
             text = "\n".join(new_texts)
             attempt = Attempt(
-                job.id, index, outcome, text, committed, len(new_texts), progress.timing
+                job.id,
+                index,
+                outcome,
+                text,
+                committed,
+                len(new_texts),
+                progress.timing,
+                progress.chain,
+                progress.base,
             )
             await self._commit(itemjobs.RecordAttempts([attempt]))
             if item.listed or not job.open:
@@ -468,9 +492,18 @@
             if job is None or not job.open or progress.last_event is None:
                 continue
             item = job.items[index]
-            texts = progress.texts_after(item.events)
-            if texts and not item.listed:
-                yield ProgressPart(job_id, index, item.events, texts, progress.last_event)
+            if item.listed or progress.is_superseded(item):
+                continue
+            if texts := progress.texts_after(item.events):
+                yield ProgressPart(
+                    job_id,
+                    index,
+                    item.events,
+                    texts,
+                    progress.last_event,
+                    progress.chain,
+                    progress.base,
+                )
 
     def _schedule_retry(self, run: Run, progress: Progress, error: BackendError) -> None:
         now = self._clock()
--- a/verbenashore/types.py
+++ b/verbenashore/types.py
@@ -19,6 +19,8 @@
 Term = NewType("Term", int)
 LogIndex = NewType("LogIndex", int)
 FencingNumber = NewType("FencingNumber", int)
+#: A chain of runs of one item, each of which goes on where the one before it ended.
+ChainId = NewType("ChainId", str)
 #: The id of one part of a prompt; prompts that begin alike share their first parts.
 PromptPart = NewType("PromptPart", str)
 #: The parts of one prompt in order; the last one is its own, or that of its session.
