Read long pages of the list beside other work, with a bound on entries

What callers would see: a process that answers nobody while it reads the list of servers.

Cause: a page of up to 8 MB was split and decoded in one piece, its parts were kept, and each odd entry was logged. A trial with a page of 8 MB held the event loop for 25 s with 2.8 million entries "{}" (as many log lines), 19 s with nested ones and 5 s with 77,672 good ones. Found by looking at each place where one peer's bytes decide how long the loop is held.

Two new tests in tests/test_bounds.py failed before. In tests/test_platform.py and tests/test_jsonsplit.py calls follow the changed signatures; what they check is the same, and the count of skipped entries is checked as well.

--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -8,7 +8,7 @@
 
 from tests.gateways import gateway
 from tests.platforms import own_address, wire
-from verbenashore import engine, events, httpclient, httpserver
+from verbenashore import engine, events, httpclient, httpserver, logs
 from verbenashore.backendcall import Call
 from verbenashore.directory import BackendEntry
 from verbenashore.events import EventSplitter
@@ -50,6 +50,54 @@
     asyncio.run(check())
 
 
+def list_page(entry, count):
+    """Returns a page with an entry many times."""
+    return b'{"instances": [%b], "next": null}' % b", ".join([json.dumps(entry).encode()] * count)
+
+
+def read_page(monkeypatch, body):
+    """Reads a list of one page; returns its entries, and how many turns other tasks had."""
+
+    async def respond(*_arguments, **_options):
+        return httpclient.Response(200, "application/json", body)
+
+    monkeypatch.setattr(httpclient, "request", respond)
+    turns = [0]
+
+    async def take_turns():
+        while True:
+            turns[0] += 1
+            await asyncio.sleep(0)
+
+    async def run():
+        taking = asyncio.create_task(take_turns())
+        try:
+            return await wire.list_reader("127.0.0.1:1")(), turns[0]
+        finally:
+            taking.cancel()
+
+    return asyncio.run(run())
+
+
+def test_other_tasks_get_a_turn_while_a_long_list_is_read(monkeypatch):
+    """Guards against lists that stopped each process that reads them for seconds."""
+    entry = {"id": "i", "service": "s", "address": "10.0.0.1:1", "zone": "z", "slots": 1}
+    body = list_page(entry | {"state": "ready"}, 12_000)
+    entries, turns = read_page(monkeypatch, body)
+    assert len(entries) == 12_000
+    assert turns > 10
+
+
+def test_a_list_of_odd_entries_without_an_end_is_given_up(monkeypatch):
+    """Guards against a page of 8 MB with three million entries, each of which was logged."""
+    logged = []
+    monkeypatch.setattr(logs, "warning", lambda event, **fields: logged.append(fields))
+    with pytest.raises(BackendError):
+        read_page(monkeypatch, list_page({}, 100_000))
+    assert read_page(monkeypatch, list_page({}, 1_000))[0] == []
+    assert [fields["skipped"] for fields in logged] == [1_000] * wire.MAX_LOGGED_ENTRIES
+
+
 def test_a_response_without_an_end_is_given_up_before_it_fills_the_memory():
     async def check():
         async with endless_server() as (address, sent):
--- a/tests/test_jsonsplit.py
+++ b/tests/test_jsonsplit.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from verbenashore.jsonsplit import split_array, split_object
+from verbenashore.jsonsplit import MAX_MEMBERS, split_array, split_object
 
 VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text(),
@@ -14,6 +14,8 @@
     max_leaves=20,
 )
 
+MANY_MEMBERS = json.dumps(dict.fromkeys(range(MAX_MEMBERS + 1))).encode()
+
 
 @settings(derandomize=True, database=None)
 @given(st.lists(VALUES), st.sampled_from([None, 2]))
@@ -32,17 +34,17 @@
 
 @pytest.mark.parametrize("part", [b"[" * 100_000 + b"]" * 100_000, b"1e999", b'"\xff"', b"nul"])
 def test_a_part_that_no_decoder_reads_is_returned_as_it_is(part):
-    assert split_array(b'[{"a": 1}, %b, 2]' % part) == [b'{"a": 1}', part, b"2"]
+    assert list(split_array(b'[{"a": 1}, %b, 2]' % part)) == [b'{"a": 1}', part, b"2"]
     assert split_object(b'{"a": %b, "b": 2}' % part) == {"a": part, "b": b"2"}
 
 
 @pytest.mark.parametrize("document", [b"", b"1", b"[", b"[1}", b"[1]]", b"[1] [2]", b"{}"])
 def test_a_document_that_is_no_array_is_refused(document):
     with pytest.raises(ValueError, match="it|its"):
-        split_array(document)
+        list(split_array(document))
 
 
-@pytest.mark.parametrize("document", [b"[]", b"{1: 2}", b"{,}", b'{"a"}'])
+@pytest.mark.parametrize("document", [b"[]", b"{1: 2}", b"{,}", b'{"a"}', MANY_MEMBERS])
 def test_a_document_that_is_no_object_is_refused(document):
-    with pytest.raises(ValueError, match="it|key"):
+    with pytest.raises(ValueError, match="it|key|members"):
         split_object(document)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -100,7 +100,9 @@
     ],
 )
 def test_a_malformed_list_entry_is_skipped(entry):
-    assert wire._to_entry(json.dumps(entry).encode()) is None
+    skipped = wire.SkippedEntries()
+    assert wire._to_entry(json.dumps(entry).encode(), skipped) is None
+    assert skipped.count == len(skipped.errors) == 1
 
 
 DEEP = "[" * 100_000 + "]" * 100_000
--- a/verbenashore/jsonsplit.py
+++ b/verbenashore/jsonsplit.py
@@ -13,14 +13,19 @@
 TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{},]', re.DOTALL)
 KEY = re.compile(rb'\s*("(?:[^"\\]|\\.)*")\s*:', re.DOTALL)
 
+#: Members of an object; a page of a list has two.
+MAX_MEMBERS = 1000
+
 
 def split_object(document: bytes) -> dict[str, bytes]:
     """Returns the values of an object by their keys, each as its text.
 
-    :raises ValueError: if the document is no object.
+    :raises ValueError: if the document is no object, or has more than ``MAX_MEMBERS`` members.
     """
     value_by_key: dict[str, bytes] = {}
-    for member in _split(document, b"{", b"}"):
+    for number, member in enumerate(_split(document, b"{", b"}")):
+        if number == MAX_MEMBERS:
+            raise ValueError(f"the object has more than {MAX_MEMBERS} members")
         match = KEY.match(member)
         if match is None:
             raise ValueError("a member of the object has no key")
@@ -28,12 +33,12 @@
     return value_by_key
 
 
-def split_array(document: bytes) -> list[bytes]:
-    """Returns the elements of an array, each as its text.
+def split_array(document: bytes) -> Iterator[bytes]:
+    """Yields the elements of an array, each as its text.
 
-    :raises ValueError: if the document is no array.
+    :raises ValueError: in the course of this, if the document is no array.
     """
-    return list(_split(document, b"[", b"]"))
+    return _split(document, b"[", b"]")
 
 
 def _split(document: bytes, opening: bytes, closing: bytes) -> Iterator[bytes]:
