Fail an attempt at an item after 10 s without an event

What callers would see: an item that is never listed while its engine sends a byte now and then.

Cause: only silence ended a run of an item, and a run has no deadline. Bytes of a head, of an event that never ends, or comments kept it, and its slot, for as long as they came, up to 16 KB of a head or 1 MB without an event. Found by looking for what excuses a wait by something else than what is waited for. Online calls end at their deadline.

test_an_item_leaves_a_server_that_sends_bytes_and_never_an_event failed before in its three cases: head, event, comments.

--- a/tests/test_itemruns.py
+++ b/tests/test_itemruns.py
@@ -4,6 +4,8 @@
 import contextlib
 import re
 
+import pytest
+
 from tests.test_jobrunner import make_runner, wait_until
 from verbenashore import itemjobs, jobrunner
 from verbenashore.directory import BackendEntry
@@ -98,3 +100,66 @@
     assert {run: number - 1 for run, number in first_number_by_run.items()} == {
         run: server.asked_after[run] for run in first_number_by_run
     }
+
+
+def dripping_server(head, drip, runs):
+    """Returns a server whose first run sends bytes now and then, and never an event.
+
+    :param head: what it sends at once.
+    :param drip: what it sends again and again.
+    :param runs: collects the runs.
+    """
+
+    async def answer(reader, writer):
+        with contextlib.closing(writer), contextlib.suppress(ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            runs.append(writer)
+            if len(runs) > 1:
+                writer.write(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nid: 1\ndata: a\n\n")
+                await writer.drain()
+                return
+            writer.write(head)
+            while True:
+                writer.write(drip)
+                await writer.drain()
+                await asyncio.sleep(0.05)
+
+    return answer
+
+
+@pytest.mark.parametrize(
+    ("head", "drip"),
+    [
+        (b"HTTP/1.1 200 OK\r\nx: ", b"x"),
+        (b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\ndata: ", b"x"),
+        (b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n", b": wait\n\n"),
+    ],
+    ids=["head", "event", "comments"],
+)
+def test_an_item_leaves_a_server_that_sends_bytes_and_never_an_event(monkeypatch, head, drip):
+    """Guards against items that keep a slot for good, since some byte comes every second."""
+    monkeypatch.setattr(jobrunner, "EVENT_TIMEOUT_SECONDS", 0.4)
+
+    async def run():
+        runs = []
+        listener = await asyncio.start_server(dripping_server(head, drip, runs), "127.0.0.1", 0)
+        host, port = listener.sockets[0].getsockname()
+        table = ItemJobTable()
+        spec = ItemSpec("i", "/b/x", [], b"", 1)
+        itemjobs.submit_job(table, SubmitItemJob("j", "r", "h", [spec], 18.0, 0.0, 3, 0, 60.0), 0.0)
+
+        async def commit(command):
+            itemjobs.record_attempts(table, command)
+
+        server = BackendEntry("b", "s", f"{host}:{port}", "d", 4, False)
+        runner = make_runner(table, server, commit, Metrics("ledger", ()))
+        running = asyncio.create_task(runner.run())
+        try:
+            await wait_until(lambda: table.job_by_id["j"].items[0].listed)
+        finally:
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+            listener.close()
+        return table.job_by_id["j"].results[0].text
+
+    assert asyncio.run(run()) == "a"
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -38,6 +38,9 @@
 
 #: Seconds without data after which an attempt fails and the item moves to another server.
 STALL_SECONDS = 1.0
+#: Seconds without an event after which an attempt fails whatever else is received: far longer than
+#: the longest prompt takes to process.
+EVENT_TIMEOUT_SECONDS = 10.0
 #: Seconds between two reads of an item's events.
 READ_PAUSE_SECONDS = 0.1
 #: Seconds before a failed item is retried.
@@ -517,6 +520,19 @@
         self.wake()
 
     async def _run_attempt(self, job: ItemJob, run: Run, progress: Progress) -> Outcome:
+        """Runs an item at a server, from the last event on.
+
+        :raises BackendError: if the answer can't be used; its events so far are kept.
+        """
+        try:
+            async with asyncio.timeout(EVENT_TIMEOUT_SECONDS) as event_timeout:
+                return await self._call_server(job, run, progress, event_timeout)
+        except TimeoutError:
+            raise BackendError("no event in time", step="read", peer=run.server.name) from None
+
+    async def _call_server(
+        self, job: ItemJob, run: Run, progress: Progress, event_timeout: asyncio.Timeout
+    ) -> Outcome:
         spec = job.items[run.key[1]].spec
         headers = _headers(job.items[run.key[1]])
         path = spec.target.partition("?")[0]
@@ -538,12 +554,16 @@
                 return Outcome.FAILED
             if status != 200:
                 raise BackendError(f"unexpected status {status}", step="head", peer=run.server.name)
-            await self._collect_events(opened, run, progress)
+            await self._collect_events(opened, run, progress, event_timeout)
         self._dispatcher.record_success(run.server.name)
         return Outcome.COMPLETED
 
     async def _collect_events(
-        self, opened: backendcall.OpenCall, run: Run, progress: Progress
+        self,
+        opened: backendcall.OpenCall,
+        run: Run,
+        progress: Progress,
+        event_timeout: asyncio.Timeout,
     ) -> None:
         if not is_event_stream(opened.exchange.content_type):
             raise BackendError("not an event stream", step="head", peer=run.server.name)
@@ -551,11 +571,13 @@
         has_content = False
         # Nobody waits for a single event of an item, so several are read at once.
         opened.exchange.read_pause = READ_PAUSE_SECONDS
+        clock = asyncio.get_running_loop().time
         async for chunk in opened.parts():
-            for event in splitter.feed(chunk):
-                if event.is_empty:
-                    continue
+            events = [event for event in splitter.feed(chunk) if not event.is_empty]
+            if events:
                 has_content = True
+                event_timeout.reschedule(clock() + EVENT_TIMEOUT_SECONDS)
+            for event in events:
                 if event.number == NO_NUMBER:
                     raise BackendError(
                         f"event without a number after event {progress.last_event}",
