Call a ledger process unknown only long after it was heard of

What operators saw: a process that stands by, told to retire, is reported as unknown.

Cause: a process that stands by asks to join every 0.75 s or so. 2.5 s after the last request the leader no longer counted it, and answered as for a name that it never heard. Now it answers "not known yet" (503) for 30 s.

test_a_process_that_has_not_asked_lately_is_not_called_unknown failed before.

--- a/verbenashore/ledger.py
+++ b/verbenashore/ledger.py
@@ -101,6 +101,8 @@
 STANDBY_CHECK_SECONDS = 0.75
 #: Seconds without such a request after which the process no longer counts as standing by.
 STANDBY_LOST_SECONDS = 2.5
+#: Seconds after which it no longer counts as known, either.
+STANDBY_FORGOTTEN_SECONDS = 30.0
 CALL_TIMEOUT_SECONDS = 0.5
 #: Seconds within which a replica must catch up with its leader to answer a read in its place.
 CATCH_UP_TIMEOUT_SECONDS = 0.2
@@ -385,7 +387,7 @@
             replicas = [peer.id for peer in peers if peer.name == body.name]
             if not replicas and body.name in standby:
                 replicas = [standby[body.name]]
-            if not replicas and self._clock() - runner.core.led_since < STANDBY_LOST_SECONDS:
+            if not replicas and self._may_stand_by(body.name, runner.core.led_since):
                 raise UnavailableError(
                     "not all ledger processes are known yet", step="retire", not_run=True
                 )
@@ -410,6 +412,16 @@
             logs.info(Event.RETIREMENT_ENDED, member=body.name)
         return Retirement(ended)
 
+    def _may_stand_by(self, name: MemberName, led_since: float) -> bool:
+        """Returns whether a process may stand by although it has not asked to join lately.
+
+        :param led_since: when this process became the leader.
+        """
+        now = self._clock()
+        known = self._standby_by_name.get(name)
+        is_late = known is not None and now - known.seen_at < STANDBY_FORGOTTEN_SECONDS
+        return is_late or now - led_since < STANDBY_LOST_SECONDS
+
     def _standby_replicas(self) -> dict[MemberName, ReplicaId]:
         """Returns the replicas by process that asked to join lately and are not needed."""
         cutoff = self._clock() - STANDBY_LOST_SECONDS
