--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -13,7 +13,7 @@
 from verbenashore.exceptions import BackendBusyError, BackendError, BackendReplacedError
 from verbenashore.httpclient import Exchange
 from verbenashore.settings import parse_address
-from verbenashore.types import Prompt
+from verbenashore.types import Prompt, WorkspaceId
 
 #: Timeout of a new connection; the servers accept one within a few round trips.
 CONNECT_TIMEOUT_SECONDS = 0.1
@@ -37,6 +37,7 @@
     :param path: the target without its query.
     :param timeout: the caller's timeout in seconds; None if it sent none.
     :param last_event: the number of the last event that the caller received; None if there is none.
+    :param workspace: whose call it is; None if the route table has no workspaces.
     """
 
     id: str
@@ -48,6 +49,7 @@
     body: bytes
     timeout: float | None = None
     last_event: int | None = None
+    workspace: WorkspaceId | None = None
 
 
 class AnswerHead(msgspec.Struct, frozen=True):
--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -14,7 +14,7 @@
 from verbenashore.directory import BackendEntry, Directory
 from verbenashore.loadtable import LoadTable
 from verbenashore.ratelimits import RateLimits
-from verbenashore.types import BackendName, ServiceName
+from verbenashore.types import BackendName, ServiceName, WorkspaceId
 
 #: Shortest and longest Retry-After, in seconds, that a refused caller gets.
 MIN_RETRY_SECONDS = 0.2
@@ -79,6 +79,7 @@
     :param accepts_late: true if waiting past the soft deadline is better than a refusal, as for a
         caller's last attempt.
     :param excluded: servers at which an attempt of the call has failed.
+    :param workspace: whose call it is; None if the route table has no workspaces.
     """
 
     id: str
@@ -88,6 +89,7 @@
     hard_deadline: float
     accepts_late: bool = False
     excluded: set[BackendName] = msgspec.field(default_factory=set)
+    workspace: WorkspaceId | None = None
 
 
 class Decision(msgspec.Struct, frozen=True):
--- a/verbenashore/routing.py
+++ b/verbenashore/routing.py
@@ -6,7 +6,8 @@
 import msgspec
 
 from verbenashore import misc
-from verbenashore.types import ServiceName
+from verbenashore.deployment import hash_key
+from verbenashore.types import ServiceName, WorkspaceId
 
 HASH_RANGE = 1 << 64
 
@@ -47,6 +48,7 @@
     :param token_cap: tokens that may be queued on a batch route; 0 means no limit.
     :param completion_objective: seconds within which all results of a job are due.
     :param give_up_after: seconds after which an item of a job may be abandoned; 0 means never.
+    :param public: true if calls need no key although the table has workspaces.
     """
 
     name: str
@@ -63,6 +65,7 @@
     token_cap: int = 0
     completion_objective: float = 0.0
     give_up_after: float = 0.0
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -85,6 +88,22 @@
     slots: int = 0
 
 
+class Workspace(msgspec.Struct, frozen=True):
+    """A workspace whose callers share the servers with those of others.
+
+    :param key_hashes: of its API keys, as :func:`verbenashore.deployment.hash_key` returns them.
+    :param priority: compared before the priority of the route; None to use that of the route.
+    :param per_second: requests a second that it may send to all entries together; 0 means no limit.
+    :param burst: requests that it may send beyond that at once.
+    """
+
+    name: WorkspaceId
+    key_hashes: tuple[str, ...] = ()
+    priority: int | None = None
+    per_second: float = 0.0
+    burst: float = 0.0
+
+
 class CallerLimits(msgspec.Struct, frozen=True):
     """Limits on the size and duration of callers' requests.
 
@@ -102,12 +121,14 @@
     """One version of the routes, services and limits, applied as a whole.
 
     :param version: chosen by the operator; the highest is in force.
+    :param workspaces: None if calls need no key on any route.
     """
 
     version: int = 0
     routes: tuple[Route, ...] = ()
     services: tuple[Service, ...] = ()
     limits: CallerLimits = CallerLimits()
+    workspaces: tuple[Workspace, ...] | None = None
 
 
 _decoder = msgspec.json.Decoder(RouteTable)
@@ -145,6 +166,21 @@
             errors.append(f"{label}: the timeout is not positive")
         if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
             errors.append(f"{label}: the prefix does not begin and end with a slash")
+    return errors + _workspace_errors(table.workspaces or ())
+
+
+def _workspace_errors(workspaces: tuple[Workspace, ...]) -> list[str]:
+    errors = []
+    name_counts = Counter(workspace.name for workspace in workspaces)
+    key_counts = Counter(key for workspace in workspaces for key in set(workspace.key_hashes))
+    for workspace in workspaces:
+        label = f"workspace {workspace.name!r}"
+        if not workspace.name or name_counts[workspace.name] > 1:
+            errors.append(f"{label}: the name is empty or not unique")
+        if any(key_counts[key] > 1 for key in workspace.key_hashes):
+            errors.append(f"{label}: another workspace has one of its keys")
+        if min(workspace.per_second, workspace.burst) < 0:
+            errors.append(f"{label}: a limit is negative")
     return errors
 
 
@@ -155,6 +191,13 @@
         self.table = table
         self.route_by_prefix = {(route.host, route.prefix): route for route in table.routes}
         self.service_by_name = {service.name: service for service in table.services}
+        self._workspace_by_key_hash = {
+            key: workspace for workspace in table.workspaces or () for key in workspace.key_hashes
+        }
+
+    def workspace_of_key(self, key: str) -> Workspace | None:
+        """Returns the workspace that holds an API key, or None."""
+        return self._workspace_by_key_hash.get(hash_key(key))
 
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest matching path prefix, or None."""
