Use servers again that were restarted under their name and address

The list gives the start of each lifetime, which is read now; an entry with another start is another server.

--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -50,6 +50,22 @@
     assert directory.install_list([LEAVING], 4.0).leaving == [LEAVING]
 
 
+def test_a_server_restarted_in_place_is_used_again():
+    # It kept its name and address, and stayed marked as leaving for as long as it was listed.
+    directory = Directory()
+    old = msgspec.structs.replace(LEAVING, born=1000)
+    restarted = msgspec.structs.replace(SERVER, born=2000)
+    directory.install_list([old], 1.0)
+    change = directory.install_list([restarted], 2.0)
+    assert change.added == [restarted] and change.gone == [old]
+    assert not directory.mark_leaving(old)
+    assert directory.accepting_servers("notes") == [restarted]
+    # A list without starts says nothing of a new lifetime.
+    assert directory.mark_leaving(restarted)
+    directory.install_list([SERVER], 3.0)
+    assert directory.accepting_servers("notes") == []
+
+
 def test_the_version_increases_only_with_changes():
     directory = Directory()
     directory.install_list([SERVER], 1.0)
--- a/verbenashore/directory.py
+++ b/verbenashore/directory.py
@@ -14,6 +14,7 @@
     :param name: usually differs for every start of a server.
     :param slots: calls that it runs concurrently.
     :param leaving: true if it accepts no new work.
+    :param born: when it started, as a Unix time in milliseconds; 0 if that isn't known.
     """
 
     name: BackendName
@@ -22,12 +23,13 @@
     data_centre: str
     slots: int
     leaving: bool
+    born: int = 0
 
 
 class DirectoryChange(msgspec.Struct, frozen=True):
     """The differences between two successive lists.
 
-    A name that is listed with another address is another server.
+    A name that is listed with another address or a later start is another server.
 
     :param leaving: servers that are listed as leaving and were not known to leave.
     :param gone: servers that are no longer listed.
@@ -45,7 +47,8 @@
     """The backend servers that are known.
 
     A server that was listed as leaving, or said so itself, stays leaving while it is listed with
-    the same address: a stale copy of the list that arrives late must not make it available again.
+    the same address and start: a stale copy of the list that arrives late must not make it
+    available again.
 
     :param read_at: when the newest list was read, on this process's clock.
     :param version: increases with each change of the list.
@@ -132,9 +135,15 @@
 def _same_server(
     by_name: dict[BackendName, BackendEntry], server: BackendEntry
 ) -> BackendEntry | None:
-    """Returns the entry with the name and address of a server, or None if there is none."""
+    """Returns the entry of a server in its present lifetime, or None if there is none.
+
+    A restarted server may keep its name and address.  An entry without a start is taken for the
+    same lifetime.
+    """
     entry = by_name.get(server.name)
-    return entry if entry is not None and entry.address == server.address else None
+    if entry is None or entry.address != server.address:
+        return None
+    return None if entry.born and server.born and entry.born != server.born else entry
 
 
 def _missing_from(
