Let item jobs belong to a workspace in the replicated state

A job had no owner: whoever knew its id could read and end it, and the cap of a batch route limited all callers together.

Jobs and the commands about them name the workspace. A job of another workspace is not found; a submission under its id is a conflict that changes nothing. The tokens that wait are also counted by route and workspace, and a cap limits those of the workspace.

Run: tests/test_itemjobs.py, tests/test_machine.py and tests/test_itemruns.py, passed.

--- a/tests/test_itemjobs.py
+++ b/tests/test_itemjobs.py
@@ -215,3 +215,52 @@
     assert table.usual.interrupted == pytest.approx(1.0 + RUN_WEIGHT * 0.5)
     restored = msgspec.msgpack.decode(msgspec.msgpack.encode(table), type=ItemJobTable)
     assert restored.usual == table.usual
+
+
+def owned_job(name, workspace, items=1, cap=0):
+    """Returns the command that submits a job of a workspace."""
+    return msgspec.structs.replace(submit_command(name, items, cap), workspace=workspace)
+
+
+def test_a_job_is_ended_and_resent_only_by_its_own_workspace():
+    """Guards another workspace's access, and jobs from before workspaces were in force."""
+    table = ItemJobTable()
+    for name, workspace in (("of-a", "a"), ("before", None), ("public", "")):
+        assert itemjobs.submit_job(table, owned_job(name, workspace), 0.0).accepted
+    before = msgspec.msgpack.encode(table)
+    for name, workspace in (("of-a", "b"), ("of-a", ""), ("public", "a")):
+        refused = itemjobs.submit_job(table, owned_job(name, workspace, items=2), 1.0)
+        assert refused.conflict and not refused.accepted and not refused.accepted_before
+    assert not itemjobs.end_job(table, EndItemJob("of-a", "b")).ok
+    assert not itemjobs.end_job(table, EndItemJob("of-a", "")).ok
+    assert msgspec.msgpack.encode(table) == before
+    for name, workspace in (("of-a", "a"), ("of-a", None), ("before", "b"), ("public", "")):
+        assert itemjobs.submit_job(table, owned_job(name, workspace), 1.0).accepted_before
+    visible = {
+        (job.id, workspace)
+        for job in table.job_by_id.values()
+        for workspace in ("a", "b", "", None)
+        if job.is_visible_to(workspace)
+    }
+    everyone = {(name, one) for name in ("before", "public") for one in ("a", "b", "", None)}
+    assert visible == everyone | {("of-a", "a"), ("of-a", None)}
+    assert itemjobs.end_job(table, EndItemJob("of-a", "a")).ok
+
+
+def test_the_cap_counts_the_tokens_of_each_workspace_exactly():
+    """Guards a workspace whose jobs fill the cap of another, and tokens that stay counted."""
+    table = ItemJobTable()
+    assert itemjobs.submit_job(table, owned_job("a1", "a", items=3, cap=40), 0.0).accepted
+    assert not itemjobs.submit_job(table, owned_job("a2", "a", items=2, cap=40), 0.0).accepted
+    assert itemjobs.submit_job(table, owned_job("a3", "a", cap=40), 0.0).accepted
+    assert itemjobs.submit_job(table, owned_job("b1", "b", items=4, cap=40), 0.0).accepted
+    assert table.waiting_tokens("r", "a") == table.waiting_tokens("r", "b") == 40
+    # Callers without a workspace are limited by the tokens of all.
+    assert not itemjobs.submit_job(table, owned_job("p", "", cap=80), 0.0).accepted
+    assert itemjobs.submit_job(table, owned_job("p", "", cap=90), 0.0).waiting == 90
+    record_attempt(table, 0, Outcome.COMPLETED, "t", name="a1")
+    itemjobs.end_job(table, EndItemJob("a3", "a"))
+    assert table.waiting_tokens("r", "a") == 20
+    for name in ("a1", "b1", "p"):
+        itemjobs.end_job(table, EndItemJob(name))
+    assert (table.waiting_by_route, table.waiting_by_workspace) == ({"r": 0}, {})
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -1,10 +1,12 @@
 """The replicated state machine: requests, batch items, configuration changes and leases."""
 
+import msgspec
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from tests.group import run_machine
 from verbenashore import control, jobs, machine, requests, transfer
+from verbenashore.itemjobs import EndItemJob, ItemSpec, SubmitItemJob
 from verbenashore.machine import GroupState
 from verbenashore.types import GroupId, ItemState, JobState, RequestState
 
@@ -360,3 +362,22 @@
     assert (change.text, transfer.decompress(change.source)) == ("text", b"as it was sent")
     fetched = control.decode_change(control.encode_change(change))
     assert (fetched.revision, fetched.text, fetched.source) == (7, "text", b"")
+
+
+def test_commands_and_snapshots_without_workspaces_still_load():
+    """Guards logs and snapshots that an earlier build has written."""
+    state = machine.GroupState(GroupId(0))
+    specs = [ItemSpec("i", "/b/x", [], b"", 10)]
+    submit = SubmitItemJob("j", "r", "h", specs, 18.0, 0.0, 3, 40, 60.0)
+    stamped = msgspec.msgpack.decode(machine.encode(submit, 1.0))
+    assert stamped[1].pop() is None
+    machine.apply(state, 1, msgspec.msgpack.encode(stamped))
+    earlier = msgspec.msgpack.decode(machine.snapshot(state))
+    del earlier["item_jobs"]["waiting_by_workspace"]
+    del earlier["item_jobs"]["job_by_id"]["j"]["workspace"]
+    restored = machine.restore(msgspec.msgpack.encode(earlier), GroupId(0))
+    assert restored.item_jobs == state.item_jobs
+    assert restored.item_jobs.job_by_id["j"].is_visible_to("a")
+    end = msgspec.msgpack.decode(machine.encode(EndItemJob("j"), 2.0))
+    assert end[1].pop() is None
+    assert machine.apply(restored, 2, msgspec.msgpack.encode(end)).ok
--- a/verbenashore/itemjobs.py
+++ b/verbenashore/itemjobs.py
@@ -10,7 +10,7 @@
 
 from verbenashore.files import Done
 from verbenashore.transfer import PAGE_BYTES
-from verbenashore.types import ChainId, JobId
+from verbenashore.types import ChainId, JobId, WorkspaceId
 
 #: Assumed time in seconds of an item's whole run, before any has completed.
 INITIAL_RUN_SECONDS = 5.0
@@ -49,11 +49,16 @@
 class SubmitItemJob(msgspec.Struct, frozen=True, array_like=True, tag="submit_item_job"):
     """Accepts a job unless its tokens exceed the route's cap; a resent job changes nothing.
 
+    A resent job is refused if its id is used by another workspace.
+
     :param due_in: seconds in which its results are wanted.
     :param give_up_in: seconds after which its unfinished items fail; 0 means never.
     :param max_attempts: failed attempts after which an item fails.
-    :param token_cap: the most tokens that may wait on the route; 0 means no limit.
+    :param token_cap: the most tokens of its workspace that may wait on the route, or of all callers
+        if it has no workspace; 0 means no limit.
     :param keep_for: seconds for which its results stay readable.
+    :param workspace: whose job it is; NO_WORKSPACE if its caller has none, and None if the route
+        table had no workspaces.
     """
 
     job: JobId
@@ -65,18 +70,21 @@
     max_attempts: int
     token_cap: int
     keep_for: float
+    workspace: WorkspaceId | None = None
 
 
 class SubmitResult(msgspec.Struct, frozen=True, array_like=True, tag="submit_result"):
     """The reply to :class:`SubmitItemJob`.
 
     :param accepted_before: true if the job was accepted before.
-    :param waiting: tokens that wait on the route, with those of this job if it was accepted.
+    :param waiting: the tokens that count for the cap, with those of this job if it was accepted.
+    :param conflict: true if another workspace has a job of this id.
     """
 
     accepted: bool
     accepted_before: bool
     waiting: int
+    conflict: bool = False
 
 
 class RunTiming(msgspec.Struct, frozen=True, array_like=True):
@@ -146,9 +154,13 @@
 
 
 class EndItemJob(msgspec.Struct, frozen=True, array_like=True, tag="end_item_job"):
-    """Ends a job at its caller's request; listed results stay listed, and no more are added."""
+    """Ends a job at its caller's request; listed results stay listed, and no more are added.
+
+    :param workspace: whose caller ends it, as in :class:`SubmitItemJob`.
+    """
 
     job: JobId
+    workspace: WorkspaceId | None = None
 
 
 class ItemResult(msgspec.Struct, frozen=True, array_like=True):
@@ -213,6 +225,7 @@
     :param keep_until: when it is deleted, unless it is still open.
     :param results: in the order of their commits.
     :param ended: true if it was ended by :class:`EndItemJob`.
+    :param workspace: whose job it is, as in :class:`SubmitItemJob`.
     """
 
     id: JobId
@@ -226,6 +239,26 @@
     items: list[ItemState]
     results: list[ItemResult] = msgspec.field(default_factory=list)
     ended: bool = False
+    workspace: WorkspaceId | None = None
+
+    def is_visible_to(self, workspace: WorkspaceId | None) -> bool:
+        """Returns whether callers of a workspace may read and end the job.
+
+        A job without a workspace is visible to all, one with a workspace only to its callers.
+
+        :param workspace: NO_WORKSPACE if the caller has none; None if the route table has no
+            workspaces, so that nobody needs a key.
+        """
+        return workspace is None or not self.workspace or workspace == self.workspace
+
+    def is_resent_by(self, workspace: WorkspaceId | None) -> bool:
+        """Returns whether a submission under the job's id is taken for the job sent again.
+
+        Workspaces may have come into force, or gone, since it was first sent.
+
+        :param workspace: of the submission, as in :class:`SubmitItemJob`.
+        """
+        return workspace is None or self.workspace is None or workspace == self.workspace
 
     @property
     def open(self) -> bool:
@@ -269,19 +302,45 @@
     """All item jobs.
 
     :param waiting_by_route: tokens of the items without a result, except those of ended jobs.
+    :param waiting_by_workspace: those of them whose job has a workspace, by route and workspace;
+        there is no entry for a workspace without such tokens.
     :param usual: the averages by which remaining run times are estimated.
     """
 
     job_by_id: dict[JobId, ItemJob] = msgspec.field(default_factory=dict)
     waiting_by_route: dict[str, int] = msgspec.field(default_factory=dict)
     usual: TypicalRun = msgspec.field(default_factory=TypicalRun)
+    waiting_by_workspace: dict[str, dict[WorkspaceId, int]] = msgspec.field(default_factory=dict)
+
+    def waiting_tokens(self, route: str, workspace: WorkspaceId | None) -> int:
+        """Returns the waiting tokens that count for the cap of a route.
+
+        :param workspace: if there is none, the tokens of all callers count.
+        """
+        if workspace:
+            return self.waiting_by_workspace.get(route, {}).get(workspace, 0)
+        return self.waiting_by_route.get(route, 0)
+
+    def add_tokens(self, route: str, workspace: WorkspaceId | None, tokens: int) -> None:
+        """Adds some tokens to those that wait, or removes some if the number is negative."""
+        self.waiting_by_route[route] = self.waiting_by_route.get(route, 0) + tokens
+        if not workspace:
+            return
+        waiting = self.waiting_by_workspace.setdefault(route, {})
+        waiting[workspace] = waiting.get(workspace, 0) + tokens
+        if not waiting[workspace]:
+            del waiting[workspace]
+            if not waiting:
+                del self.waiting_by_workspace[route]
 
 
 def submit_job(table: ItemJobTable, command: SubmitItemJob, now: float) -> SubmitResult:
     """Accepts a job once; a resent job is reported as accepted and isn't run twice."""
-    waiting = table.waiting_by_route.get(command.route, 0)
-    if command.job in table.job_by_id:
-        return SubmitResult(True, True, waiting)
+    waiting = table.waiting_tokens(command.route, command.workspace)
+    known = table.job_by_id.get(command.job)
+    if known is not None:
+        is_resent = known.is_resent_by(command.workspace)
+        return SubmitResult(is_resent, is_resent, waiting, conflict=not is_resent)
     tokens = sum(item.tokens for item in command.items)
     if command.token_cap and waiting + tokens > command.token_cap:
         return SubmitResult(False, False, waiting)
@@ -295,8 +354,9 @@
         now + command.keep_for,
         command.max_attempts,
         [ItemState(spec) for spec in command.items],
+        workspace=command.workspace,
     )
-    table.waiting_by_route[command.route] = waiting + tokens
+    table.add_tokens(command.route, command.workspace, tokens)
     return SubmitResult(True, False, waiting + tokens)
 
 
@@ -348,14 +408,17 @@
 
 
 def end_job(table: ItemJobTable, command: EndItemJob) -> Done:
-    """Ends a job and drops the progress of its items; reports false if there is no such job."""
+    """Ends a job and drops the progress of its items.
+
+    Reports false if there is no such job, or none that the workspace may end.
+    """
     job = table.job_by_id.get(command.job)
-    if job is None:
+    if job is None or not job.is_visible_to(command.workspace):
         return Done(False)
     if not job.ended:
         job.ended = True
         waiting = sum(item.spec.tokens for item in job.items if not item.listed)
-        _release_tokens(table, job.route, waiting)
+        table.add_tokens(job.route, job.workspace, -waiting)
         for item in job.items:
             item.text, item.events, item.last_event, item.chain = "", 0, None, NO_CHAIN
     return Done()
@@ -414,8 +477,4 @@
     item.listed = True
     item.text = ""
     job.results.append(ItemResult(item.spec.id, completed, text))
-    _release_tokens(table, job.route, item.spec.tokens)
-
-
-def _release_tokens(table: ItemJobTable, route: str, tokens: int) -> None:
-    table.waiting_by_route[route] = table.waiting_by_route.get(route, 0) - tokens
+    table.add_tokens(job.route, job.workspace, -item.spec.tokens)
--- a/verbenashore/ledgerrelay.py
+++ b/verbenashore/ledgerrelay.py
@@ -21,7 +21,7 @@
 from verbenashore.process import Process, new_quarantine, new_rate_limits
 from verbenashore.replica import ReplicaRunner
 from verbenashore.routing import RouteIndex, RouteTable
-from verbenashore.types import JobId, MemberRole
+from verbenashore.types import MemberRole
 
 #: Longest time in seconds for which a read of results waits for a further result.
 MAX_RESULT_WAIT_SECONDS = 5.0
@@ -173,7 +173,7 @@
         try:
             async with asyncio.timeout(min(ask.wait, MAX_RESULT_WAIT_SECONDS)):
                 while True:
-                    job = self._find_job(ask.job)
+                    job = self._find_job(ask)
                     if len(job.results) > ask.first or len(job.results) == len(job.items):
                         break
                     state_changed = self._state_changed
@@ -181,22 +181,22 @@
         except TimeoutError:
             pass
         check()
-        return itemjobs.results_page(self._find_job(ask.job), ask.first)
+        return itemjobs.results_page(self._find_job(ask), ask.first)
 
     def read_body(self, ask: ReadItemBody) -> ItemBody:
         """Returns the requested part of an item's body.
 
         :raises NotFoundError: if there is no such item, or its job was ended.
         """
-        body = itemjobs.item_body(self._find_job(ask.job), ask.item)
+        body = itemjobs.item_body(self._find_job(ask), ask.item)
         if body is None:
             raise NotFoundError("no such item", step="read", field="id")
         end = ask.first + ask.count if ask.count else len(body)
         return ItemBody(body[ask.first : end], len(body))
 
-    def _find_job(self, job_id: JobId) -> ItemJob:
-        job = self._replica_runner.state.item_jobs.job_by_id.get(job_id)
-        if job is None:
+    def _find_job(self, ask: ReadResults | ReadItemBody) -> ItemJob:
+        job = self._replica_runner.state.item_jobs.job_by_id.get(ask.job)
+        if job is None or not job.is_visible_to(ask.workspace):
             raise NotFoundError("no such job", step="read", field="job")
         return job
 
--- a/verbenashore/messages.py
+++ b/verbenashore/messages.py
@@ -293,6 +293,7 @@
 
     :param wait: seconds to wait for a result if there is none yet.
     :param nearby: true if a follower may answer too, once it has caught up with the leader.
+    :param workspace: whose caller reads, as in :class:`itemjobs.EndItemJob`.
     """
 
     group: GroupId
@@ -300,6 +301,7 @@
     first: int
     wait: float
     nearby: bool = False
+    workspace: WorkspaceId | None = None
 
 
 class AskApplied(msgspec.Struct, frozen=True, array_like=True, tag="ask_applied"):
@@ -319,6 +321,7 @@
 
     :param first: the position of the part's first byte.
     :param count: number of bytes; 0 means all that follow.
+    :param workspace: whose caller reads, as in :class:`itemjobs.EndItemJob`.
     """
 
     group: GroupId
@@ -326,6 +329,7 @@
     item: str
     first: int = 0
     count: int = 0
+    workspace: WorkspaceId | None = None
 
 
 class ItemBody(msgspec.Struct, frozen=True, array_like=True, tag="item_body"):
