Check the API keys of relayed calls and tell servers the workspace

Callers of a route table with workspaces were served with any key or none, and their key reached the server.

keys.py decides, without I/O, whether a call may go on and whose it is; routefinder.py, which holds what gateway.py did to find routes, asks it for each request, so that a revoked key is refused on connections that stay open, too. An unknown key is a 401 (unknown_key) only if the table is certainly the newest; before that it is refused as not ready, and a retry waits. With revoke_fail_closed, calls with keys are refused when the last confirmation is older than revoke_ms. The platform's document reader takes tenants and public, and stores the hashes of keys. Servers get the workspace's name and neither the key nor the caller's own header; keys among the headers of items are not stored either. The rank of a ticket is the priority of the workspace, then of the route; a resumed stream now also goes before negative priorities.

Without workspaces nothing is sent in addition.

--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -5,6 +5,7 @@
 
 from verbenashore.backendcall import AnswerHead, Dialect
 from verbenashore.gateway import Gateway
+from verbenashore.keys import DEFAULT_BOUNDS
 from verbenashore.ledgerrelay import RelaySettings
 from verbenashore.process import Process
 
@@ -38,12 +39,15 @@
 
 
 @contextlib.asynccontextmanager
-async def gateway(seeds=("127.0.0.1:1",), fetch=None, dialect=PLAIN_DIALECT):
+async def gateway(
+    seeds=("127.0.0.1:1",), fetch=None, dialect=PLAIN_DIALECT, key_bounds=DEFAULT_BOUNDS
+):
     """Yields a gateway whose tasks are not started.
 
     :param seeds: the addresses of its ledger processes.
     :param fetch: reads the list of backend servers.
     :param dialect: how it encodes calls and decodes their answers.
+    :param key_bounds: how long it accepts keys without confirmation.
     """
     async with process() as running:
-        yield Gateway(running, relay_settings(fetch, dialect), list(seeds))
+        yield Gateway(running, relay_settings(fetch, dialect), list(seeds), key_bounds)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,7 @@
 """The platform adapter: its names occur nowhere else, and its units and meanings are converted."""
 
 import asyncio
+import importlib
 import json
 import re
 import subprocess
@@ -10,10 +11,14 @@
 
 from lab.fleet import ROOT
 from tests.platforms import HOST, configuration, route, wire
+from verbenashore import routing
+from verbenashore.backendcall import Call
+from verbenashore.deployment import hash_key
 from verbenashore.directory import BackendEntry
 from verbenashore.exceptions import BadRequestError
 from verbenashore.httpserver import Request
-from verbenashore.routing import RouteKind
+from verbenashore.keys import KeyBounds
+from verbenashore.routing import RouteKind, Workspace
 
 PLATFORM_NAMES = re.compile(
     r"x-verbenashore-|/verbenashore/|VERBENASHORE_SETTINGS|target_latency_ms|path_prefix|dead_letter"
@@ -221,12 +226,12 @@
     assert caught.value.field == name
 
 
-def read_job(body):
+def read_job(body, workspace=None):
     """Returns the job that is read from a request."""
     fields = {"x-verbenashore-request-id": "j"}
     table = wire.read_configuration(json.dumps(configuration(1)).encode())
     batch = next(route for route in table.routes if route.kind is RouteKind.BATCH)
-    return wire.read_job(Request("POST", "/", "/", {}, fields, body), batch, 120.0)
+    return wire.read_job(Request("POST", "/", "/", {}, fields, body), batch, 120.0, workspace)
 
 
 @pytest.mark.parametrize("tokens", [-1, 1 << 53, 1 << 70])
@@ -283,3 +288,111 @@
         head = wire.DIALECT.read_head(status, [(b"Server-Limit", text)])
         assert head.states_rate and head.per_second == per_second
     assert not wire.DIALECT.read_head(200, []).states_rate
+
+
+def tenant(**changes):
+    """Returns a workspace as operators write it."""
+    return {"name": "a", "api_keys": ["key-a", "key-a2"]} | changes
+
+
+def read_tenants(*tenants, **changes):
+    """Returns the route table of a configuration with workspaces."""
+    document = configuration(1) | {"tenants": list(tenants)} | changes
+    return wire.read_configuration(json.dumps(document).encode())
+
+
+def test_workspaces_are_read_with_the_hashes_of_their_keys():
+    """Guards keys that reach entries in the route table."""
+    full = tenant(priority=3, rate_per_s=83, burst=82.5)
+    plain = tenant(name="b", api_keys=["clé"], priority=None, rate_per_s=None, burst=None)
+    public = route("p", "/p/", "idempotent", "forms", public=True)
+    table = read_tenants(full, plain, routes=[public])
+    assert table.routes[0].public
+    assert table.workspaces == (
+        Workspace("a", (hash_key("key-a"), hash_key("key-a2")), 3, 83.0, 82.5),
+        Workspace("b", (hash_key("clé"),), None, 0.0, 0.0),
+    )
+    text = routing.encode(table)
+    assert "key-a" not in text and "clé" not in text and routing.decode(text) == table
+    assert read_tenants().workspaces == ()
+    assert wire.read_configuration(json.dumps(configuration(1)).encode()).workspaces is None
+
+
+@pytest.mark.parametrize(
+    ("tenants", "word"),
+    [
+        ([tenant(), tenant(name="b")], "one of its keys"),
+        ([tenant(), tenant(api_keys=[])], "not unique"),
+        ([tenant(name=7)], "name"),
+        ([{"api_keys": []}], "name"),
+        ([tenant(api_keys="key-a")], "api_keys"),
+        ([tenant(api_keys=["key-a", 7])], "api_keys"),
+        ([tenant(api_keys=[""])], "api_keys"),
+        ([tenant(priority="high")], "priority"),
+        ([tenant(priority=1 << 70)], "priority"),
+        ([tenant(rate_per_s="fast")], "rate_per_s"),
+        ([tenant(rate_per_s=-1)], "rate_per_s"),
+        ([tenant(burst=True)], "burst"),
+        (["a"], "tenants"),
+    ],
+)
+def test_a_workspace_that_is_invalid_is_refused_with_its_field_but_not_its_keys(tenants, word):
+    with pytest.raises(BadRequestError, match=word) as caught:
+        read_tenants(*tenants)
+    assert "key-" not in caught.value.message and "sha256" not in caught.value.message
+    with pytest.raises(BadRequestError, match="public"):
+        read_tenants(routes=[route("r", "/r/", "idempotent", "forms", public="no")])
+
+
+KEY_FIELDS = {"api-key": "key-a", "x-verbenashore-tenant": "forged", "x-other": "kept"}
+
+
+def sent_headers(call):
+    """Returns the headers that a server gets, apart from those that each call has."""
+    sent = wire.DIALECT.call_headers(call, SERVER, 1.0, None)
+    assert len({name.lower() for name, _ in sent}) == len(sent)
+    fields = {name.decode().lower(): value.decode() for name, value in sent}
+    return {name: value for name, value in fields.items() if name in KEY_FIELDS}
+
+
+def test_a_server_gets_the_workspace_and_neither_a_key_nor_a_forged_name():
+    """Guards keys at servers, and callers who name another workspace."""
+    raw = [(name.title().encode(), value.encode()) for name, value in KEY_FIELDS.items()]
+    fields = {"host": HOST, "x-verbenashore-request-id": "c"} | KEY_FIELDS
+    request = Request("POST", "/s/a", "/s/a", {}, fields, b"x", raw)
+    assert wire.read_origin(request).key == "key-a"
+    assert sent_headers(wire.read_call(request)) == KEY_FIELDS
+    kept = {"x-other": "kept"}
+    assert sent_headers(wire.read_call(request, "")) == kept
+    assert sent_headers(wire.read_call(request, "a")) == kept | {"x-verbenashore-tenant": "a"}
+    # Items of jobs that were accepted before the configuration had workspaces.
+    item = Call("i", HOST, "POST", "/s/a", "/s/a", raw, b"", withholds_keys=True)
+    assert sent_headers(item) == kept
+
+
+def test_a_key_is_read_as_documents_write_it():
+    """Guards keys with other than ASCII characters, which could never match."""
+    for key in ("clé", "ключ"):
+        fields = {"api-key": f" {key} ".encode().decode("latin-1")}
+        assert wire.read_origin(Request("GET", "/", "/", {}, fields, b"")).key == key
+
+
+def test_keys_among_the_headers_of_items_are_not_stored():
+    """Guards keys on the disks of ledger processes."""
+    item = {"id": "i", "path": "/", "headers": {"Api-Key": "key-a", "X-Other": "kept"}}
+    item |= {"body": "", "tokens": 1}
+    body = json.dumps({"items": [item]}).encode()
+    assert read_job(body, "a").items[0].headers == [("X-Other", "kept")]
+    assert read_job(body, "a").workspace == "a"
+    assert len(read_job(body).items[0].headers) == 2
+
+
+def test_the_bounds_of_keys_are_read_from_the_settings_file(tmp_path, monkeypatch):
+    boot = importlib.import_module("boot")
+    path = tmp_path / "settings.toml"
+    monkeypatch.setenv(boot.PATH_VARIABLE, str(path))
+    base = 'node_name = "e"\nip = "127.0.0.1"\nzone = "z"\ninternal_ports = [1, 9]\n'
+    path.write_text(base)
+    assert boot.read_settings().key_bounds == KeyBounds(False, 5.0)
+    path.write_text(base + "[bounds]\nrevoke_fail_closed = true\nrevoke_ms = 1500\n")
+    assert boot.read_settings().key_bounds == KeyBounds(True, 1.5)
--- a/tests/test_starting.py
+++ b/tests/test_starting.py
@@ -12,12 +12,16 @@
 from verbenashore.control import ApplyVersion
 from verbenashore.directory import BackendEntry
 from verbenashore.exceptions import OverloadedError, VerbenaError
-from verbenashore.gateway import STARTUP_RETRY_SECONDS, STARTUP_RETRY_SPREAD_SECONDS
 from verbenashore.itemjobs import ItemSpec, SubmitItemJob
 from verbenashore.jobrunner import MAX_SCHEDULING_INTERVAL_SECONDS
 from verbenashore.ledgerrelay import LedgerRelay
 from verbenashore.replica import ReplicaRunner
 from verbenashore.replication import Timing
+from verbenashore.routefinder import (
+    STARTUP_RETRY_SECONDS,
+    STARTUP_RETRY_SPREAD_SECONDS,
+    CallOrigin,
+)
 from verbenashore.routing import Route, RouteKind, RouteTable, Share
 from verbenashore.settings import parse_address
 from verbenashore.types import CONTROL_GROUP
@@ -168,13 +172,15 @@
             )
             entry._retry_detector.record_timeout("h", "/l/x", 5.0)
             started_at = entry.clock()
-            finding = asyncio.create_task(entry.find_route("h", "/l/x", "c", timeout))
+            finding = asyncio.create_task(
+                entry.finder.find_route(CallOrigin("h", "/l/x", "c", timeout))
+            )
             await asyncio.sleep(0.7)
             entry._view.deployment = RouteTable(1, (route,))
             entry._on_configuration_change()
             call = Call("c", "h", "GET", "/l/x", "/l/x", [], b"", timeout)
             with pytest.raises(VerbenaError):
-                await entry.relay(call, await finding, FakeResponder(), started_at)
+                await entry.relay(call, (await finding).route, FakeResponder(), started_at)
             assert entry.clock() - started_at < timeout + 0.2
 
     asyncio.run(run())
--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -37,7 +37,9 @@
     :param path: the target without its query.
     :param timeout: the caller's timeout in seconds; None if it sent none.
     :param last_event: the number of the last event that the caller received; None if there is none.
-    :param workspace: whose call it is; None if the route table has no workspaces.
+    :param workspace: whose call it is; None if it has no workspace.
+    :param withholds_keys: true while the route table has workspaces: headers in which callers send
+        a key or the name of a workspace are not forwarded.
     """
 
     id: str
@@ -50,6 +52,7 @@
     timeout: float | None = None
     last_event: int | None = None
     workspace: WorkspaceId | None = None
+    withholds_keys: bool = False
 
 
 class AnswerHead(msgspec.Struct, frozen=True):
--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -14,7 +14,7 @@
 from verbenashore.directory import BackendEntry, Directory
 from verbenashore.loadtable import LoadTable
 from verbenashore.ratelimits import RateLimits
-from verbenashore.types import BackendName, ServiceName, WorkspaceId
+from verbenashore.types import BackendName, Rank, ServiceName, WorkspaceId
 
 #: Shortest and longest Retry-After, in seconds, that a refused caller gets.
 MIN_RETRY_SECONDS = 0.2
@@ -79,12 +79,12 @@
     :param accepts_late: true if waiting past the soft deadline is better than a refusal, as for a
         caller's last attempt.
     :param excluded: servers at which an attempt of the call has failed.
-    :param workspace: whose call it is; None if the route table has no workspaces.
+    :param workspace: whose call it is; None if it has no workspace.
     """
 
     id: str
     service: ServiceName
-    rank: int
+    rank: Rank
     soft_deadline: float
     hard_deadline: float
     accepts_late: bool = False
--- a/verbenashore/exceptions.py
+++ b/verbenashore/exceptions.py
@@ -91,6 +91,12 @@
     http_status = 401
 
 
+class UnknownKeyError(UnauthorizedError):
+    """The call needs an API key, and carries none that is in force."""
+
+    code = "unknown_key"
+
+
 class NotFoundError(VerbenaError):
     """The requested object does not exist, or not in the caller's workspace."""
 
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -10,7 +10,17 @@
 
 import msgspec
 
-from verbenashore import backendcall, dispatch, httpserver, itemjobs, logs, misc, routing, transfer
+from verbenashore import (
+    backendcall,
+    dispatch,
+    httpserver,
+    itemjobs,
+    keys,
+    logs,
+    misc,
+    routing,
+    transfer,
+)
 from verbenashore.backendcall import Call, Dialect, OpenCall
 from verbenashore.callqueue import CallQueue
 from verbenashore.client import GroupClient
@@ -31,6 +41,7 @@
 from verbenashore.gossip import LoadReporter, node_of
 from verbenashore.httpserver import Responder, ServerLimits
 from verbenashore.itemjobs import ResultsPage, SubmitItemJob, SubmitResult
+from verbenashore.keys import KeyBounds
 from verbenashore.ledgerrelay import RelaySettings
 from verbenashore.listing import BackendListUpdater
 from verbenashore.loadtable import LoadTable, Report
@@ -38,16 +49,20 @@
 from verbenashore.messages import HeartbeatReply, ItemBody, ReadItemBody, ReadResults
 from verbenashore.prober import Prober
 from verbenashore.process import Process, new_quarantine, new_rate_limits
-from verbenashore.retries import RetryDetector
-from verbenashore.routing import CallerLimits, Route, RouteIndex, RouteKind, RouteTable
+from verbenashore.retries import LATEST_START_SHARE, RetryDetector
+from verbenashore.routefinder import RouteFinder, startup_retry_seconds
+from verbenashore.routing import CallerLimits, Route, RouteIndex, RouteKind
 from verbenashore.transfer import Document
 from verbenashore.types import (
     CONTROL_GROUP,
+    NO_WORKSPACE,
     BackendName,
     JobId,
     MemberRole,
     MemberState,
     Prompt,
+    Rank,
+    WorkspaceId,
 )
 from verbenashore.view import SystemView
 
@@ -60,19 +75,13 @@
 WHOLE_STALL_SHARE = 0.4
 #: Share of a route's objective that a call may spend in the queue; the server needs the rest.
 WAIT_SHARE = 0.75
-#: Share of a caller's timeout after which a call is no longer started.
-LATEST_START_SHARE = 0.8
 #: Seconds before the end of the grace at which a stopping process ends the open calls itself, so
 #: that they get an answer.
 STOP_MARGIN_SECONDS = 0.3
 #: Rank of a stream that resumes at another server; it goes before all others.
-RESUMED_RANK = -1
+RESUMED_RANK: Rank = (float("-inf"), 0)
 #: Longest pause in seconds between events that is assumed for a route that declares none.
 DEFAULT_PAUSE_SECONDS = 1.0
-#: Retry-After in seconds while a starting entry has no configuration or no list yet; the second
-#: part is drawn at random so that callers don't all retry at once.
-STARTUP_RETRY_SECONDS = 0.8
-STARTUP_RETRY_SPREAD_SECONDS = 0.8
 #: Limit in bytes of a request's head until the configured one is known.  It is far above what
 #: operators allow, so that the caller is told to retry and not that its head is too large.
 START_HEADER_BYTES = 256 << 10
@@ -213,14 +222,19 @@
     :param seeds: addresses of some ledger processes.
     """
 
-    def __init__(self, process: Process, relay_settings: RelaySettings, seeds: list[str]) -> None:
+    def __init__(
+        self,
+        process: Process,
+        relay_settings: RelaySettings,
+        seeds: list[str],
+        key_bounds: KeyBounds = keys.DEFAULT_BOUNDS,
+    ) -> None:
         settings = process.settings
         self._process = process
         self._clock = self.clock = process.clock
         self._dialect: Dialect = relay_settings.dialect
         self.server_limits = ServerLimits(CallerLimits(header_bytes=START_HEADER_BYTES))
         self.control = GroupClient(CONTROL_GROUP, process.links, seeds, process.clock)
-        self.routes = RouteIndex(RouteTable())
         self._view = SystemView(
             process,
             self.control,
@@ -269,16 +283,21 @@
             self._quarantine,
         )
         self._retry_detector = RetryDetector()
+        self.finder = RouteFinder(process, self._view, self._retry_detector, key_bounds)
         self._ends_at = float("inf")
         self._open_timeouts: set[asyncio.Timeout] = set()
         self._nearby_address = ""
         self._nearby_reads = 0
         self._list_read_at = float("-inf")
         self._nearby_retry_at = float("-inf")
-        self._routes_changed = asyncio.Event()
         self._list_received = asyncio.Event()
         self._random = random.Random(misc.quick_hash(process.incarnation))
 
+    @property
+    def routes(self) -> RouteIndex:
+        """The routes in force."""
+        return self.finder.routes
+
     async def run(self, listen: str | socket.socket, handle: httpserver.RequestHandler) -> None:
         """Serves callers until the process is to stop, then completes the open calls.
 
@@ -326,63 +345,6 @@
             finally:
                 self._open_timeouts.discard(timeout)
 
-    async def find_route(
-        self, host: str, path: str, call: str, caller_timeout: float | None
-    ) -> Route:
-        """Returns the route of a call.
-
-        While it is uncertain whether there is a route, a retry waits for most of the caller's
-        timeout, and a first attempt is refused.
-
-        :param call: the id of the call, for the logs.
-        :param caller_timeout: seconds that the caller waits; None if the call states no timeout.
-        :raises OverloadedError: if the route may be in a configuration that isn't known yet.
-        :raises NotFoundError: if the configuration in force has no route for the path.
-        """
-        is_retry = self._retry_detector.record_timeout(host, path, caller_timeout)
-        if (
-            is_retry
-            and caller_timeout is not None
-            and (reason := self._route_uncertainty(host, path))
-        ):
-            logs.info(Event.CALL_QUEUED, call=call, outcome=reason)
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(caller_timeout * LATEST_START_SHARE):
-                    while self._route_uncertainty(host, path):
-                        changed = self._routes_changed
-                        await changed.wait()
-        versions = {"version": self.routes.table.version, **self._view.confirmation_fields()}
-        if reason := self._route_uncertainty(host, path):
-            retry_after = (
-                STARTUP_RETRY_SECONDS + STARTUP_RETRY_SPREAD_SECONDS * self._random.random()
-            )
-            logs.warning(
-                Event.CALL_REFUSED,
-                call=call,
-                outcome=reason,
-                retry_after=round(retry_after, 3),
-                **versions,
-            )
-            raise OverloadedError(reason, step="place", retry_after=retry_after)
-        route = self.routes.find(host, path)
-        if route is None:
-            logs.info(Event.CALL_REFUSED, call=call, outcome="no route", **versions)
-            raise NotFoundError(f"no route for {host}{path}", step="route", not_run=True)
-        return route
-
-    def _route_uncertainty(self, host: str, path: str) -> str:
-        """Returns why it is uncertain whether a path has a route; "" if it is certain."""
-        if not self.routes.table.version:
-            return "no configuration is known"
-        if self.routes.find(host, path) is None and not self._view.is_current():
-            return "the configuration may be out of date"
-        return ""
-
-    def _wake_route_waiters(self) -> None:
-        """Wakes the callers that wait to learn whether they have a route."""
-        self._routes_changed.set()
-        self._routes_changed = asyncio.Event()
-
     async def relay(
         self, call: Call, route: Route, respond: Responder, arrived_at: float | None = None
     ) -> None:
@@ -401,10 +363,11 @@
         ticket = Ticket(
             call.id,
             routing.choose_service(route, call.id),
-            route.priority,
+            keys.rank_of(route, self.routes.workspace_by_name.get(call.workspace or NO_WORKSPACE)),
             now + min(timeout, route.objective * WAIT_SHARE),
             now + timeout * LATEST_START_SHARE,
             accepts_late=self._retry_detector.is_retry(call.host, call.path, call.timeout),
+            workspace=call.workspace,
         )
         relay = Relay(call, route, now, now + timeout, ticket, respond, step_since=now)
         relay.last_event = call.last_event
@@ -454,27 +417,32 @@
             known=result.accepted_before,
             waiting_tokens=result.waiting,
             cap=command.token_cap,
+            workspace=command.workspace,
+            conflict=result.conflict,
         )
         return result
 
-    async def end_job(self, job: JobId) -> bool:
-        """Ends a job; returns False if there is none."""
-        result: Any = await self.control.propose(itemjobs.EndItemJob(job), JOB_SECONDS)
+    async def end_job(self, job: JobId, workspace: WorkspaceId | None = None) -> bool:
+        """Ends a job; returns False if there is none that the workspace may end."""
+        result: Any = await self.control.propose(itemjobs.EndItemJob(job, workspace), JOB_SECONDS)
         logs.info(Event.JOB_ENDED, job=job, known=result.ok)
         return result.ok
 
-    async def read_results(self, job: JobId, first: int, wait: float) -> ResultsPage:
+    async def read_results(
+        self, job: JobId, first: int, wait: float, workspace: WorkspaceId | None = None
+    ) -> ResultsPage:
         """Returns a page of a job's results.
 
         :param first: the position of the first result.
         :param wait: seconds to wait for a result at that position.
-        :raises NotFoundError: if there is no such job.
+        :param workspace: whose caller reads, as in :class:`itemjobs.EndItemJob`.
+        :raises NotFoundError: if there is no such job that the workspace may read.
         :raises UnavailableError: if no leader answered.
         """
-        page = await self._read_nearby(ReadResults(CONTROL_GROUP, job, first, wait, nearby=True))
+        request = ReadResults(CONTROL_GROUP, job, first, wait, workspace=workspace)
+        page = await self._read_nearby(msgspec.structs.replace(request, nearby=True))
         if page is not None:
             return page
-        request = ReadResults(CONTROL_GROUP, job, first, wait)
         answer: Any = await self.control.ask(request, wait + JOB_SECONDS, wait)
         return answer
 
@@ -506,15 +474,18 @@
         self._process.metrics.count("results.nearby")
         return answer
 
-    async def read_body(self, job: JobId, item: str) -> bytes:
+    async def read_body(self, job: JobId, item: str, workspace: WorkspaceId | None = None) -> bytes:
         """Returns the body of an item.
 
+        :param workspace: whose caller reads, as in :class:`itemjobs.EndItemJob`.
         :raises NotFoundError: if there is no such item, or its job was ended.
         :raises UnavailableError: if no leader answered.
         """
         data = b""
         while True:
-            request = ReadItemBody(CONTROL_GROUP, job, item, len(data), transfer.PAGE_BYTES)
+            request = ReadItemBody(
+                CONTROL_GROUP, job, item, len(data), transfer.PAGE_BYTES, workspace
+            )
             answer = await self.control.ask(request, JOB_SECONDS)
             assert isinstance(answer, ItemBody)
             data += answer.data
@@ -633,9 +604,7 @@
                 async with asyncio.timeout(ticket.hard_deadline - self._clock()):
                     await self._list_received.wait()
         if not self._list_updater.is_known:
-            retry_after = (
-                STARTUP_RETRY_SECONDS + STARTUP_RETRY_SPREAD_SECONDS * self._random.random()
-            )
+            retry_after = startup_retry_seconds(self._random)
             raise OverloadedError(reason, step="place", retry_after=retry_after)
 
     async def _acquire_slot(self, relay: Relay) -> BackendEntry:
@@ -845,7 +814,7 @@
             if reply.backends_version == self._view.fetcher.fetched_version(Document.BACKENDS):
                 self._list_updater.confirm(self._list_read_at)
         self._nearby_address = reply.nearby_replica
-        self._wake_route_waiters()
+        self.finder.wake_waiters()
 
     def _install_backends(self, _version: int, data: bytes) -> None:
         self._list_updater.install_document(data, self._list_read_at)
@@ -874,9 +843,9 @@
     def _on_configuration_change(self) -> None:
         table = self._view.deployment
         if table.version > self.routes.table.version:
-            self.routes = RouteIndex(table)
+            self.finder.routes = RouteIndex(table)
             self.server_limits.limits = table.limits
-        self._wake_route_waiters()
+        self.finder.wake_waiters()
         self._update_readiness()
 
     def _update_readiness(self) -> None:
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -536,7 +536,18 @@
         spec = job.items[run.key[1]].spec
         headers = _headers(job.items[run.key[1]])
         path = spec.target.partition("?")[0]
-        call = Call(spec.id, job.host, "POST", spec.target, path, headers, spec.body)
+        has_workspaces = self._routes().table.workspaces is not None
+        call = Call(
+            spec.id,
+            job.host,
+            "POST",
+            spec.target,
+            path,
+            headers,
+            spec.body,
+            workspace=(job.workspace or None) if has_workspaces else None,
+            withholds_keys=has_workspaces,
+        )
         async with backendcall.open_call(
             self._dialect,
             run.server,
--- a/verbenashore/logs.py
+++ b/verbenashore/logs.py
@@ -83,6 +83,7 @@
     CALL_CANCELLED = 515
     CALL_FAILED = 516
     CALL_KEPT = 517
+    KEY_REFUSED = 518
     JOB_ACCEPTED = 520
     JOB_REFUSED = 521
     JOB_ENDED = 522
--- a/verbenashore/retries.py
+++ b/verbenashore/retries.py
@@ -2,6 +2,8 @@
 
 #: A call is a retry if its timeout is below this share of the longest timeout at its path prefix.
 RETRY_SHARE = 0.97
+#: Share of a caller's timeout after which a call is no longer started.
+LATEST_START_SHARE = 0.8
 #: Maximum number of path prefixes that are remembered; one more drops all that were remembered.
 MAX_PREFIXES = 2000
 
--- a/verbenashore/routing.py
+++ b/verbenashore/routing.py
@@ -177,6 +177,9 @@
         label = f"workspace {workspace.name!r}"
         if not workspace.name or name_counts[workspace.name] > 1:
             errors.append(f"{label}: the name is empty or not unique")
+        if workspace.name != workspace.name.strip() or not workspace.name.isprintable():
+            # The name is sent in a header.
+            errors.append(f"{label}: the name has control characters or spaces at its ends")
         if any(key_counts[key] > 1 for key in workspace.key_hashes):
             errors.append(f"{label}: another workspace has one of its keys")
         if min(workspace.per_second, workspace.burst) < 0:
@@ -194,6 +197,7 @@
         self._workspace_by_key_hash = {
             key: workspace for workspace in table.workspaces or () for key in workspace.key_hashes
         }
+        self.workspace_by_name = {workspace.name: workspace for workspace in table.workspaces or ()}
 
     def workspace_of_key(self, key: str) -> Workspace | None:
         """Returns the workspace that holds an API key, or None."""
--- a/verbenashore/types.py
+++ b/verbenashore/types.py
@@ -26,7 +26,13 @@
 #: The parts of one prompt in order; the last one is its own, or that of its session.
 Prompt = tuple[PromptPart, ...]
 
+#: The place of a call in the queue: the priority of its workspace, then that of its route; the
+#: lowest goes first.
+Rank = tuple[float, int]
+
 CONTROL_GROUP = GroupId(0)
+#: Stands for the callers without a workspace while the route table has workspaces.
+NO_WORKSPACE = WorkspaceId("")
 
 #: Returns the time in seconds since some moment; it never goes back.
 Clock = Callable[[], float]
