Limit the requests of workspaces over all entries together

Operators could declare a rate and a burst for a workspace, and nothing applied them: one workspace could use all servers.

Each entry counts the requests that it admits and exchanges the sums with its neighbours in the load tree, in a datagram of its own that is sent only while the route table has a limit. It admits while the known sums, with an estimate of what others have admitted since, stay under the limit. Entries that don't reach each other use parts that add up to at most the whole. Calls beyond the limit get 429; those refused later without having run are subtracted.

--- a/verbenashore/exceptions.py
+++ b/verbenashore/exceptions.py
@@ -127,14 +127,24 @@
     """The work was refused before it ran.
 
     :param retry_after: seconds after which a retry is worthwhile.
+    :param details: what decided about it, as log fields.
     """
 
     code = "overloaded"
     http_status = 429
 
-    def __init__(self, message: str, *, step: str = "", peer: str = "", retry_after: float = 1.0):
+    def __init__(
+        self,
+        message: str,
+        *,
+        step: str = "",
+        peer: str = "",
+        retry_after: float = 1.0,
+        details: dict[str, object] | None = None,
+    ):
         super().__init__(message, step=step, peer=peer, not_run=True)
         self.retry_after = retry_after
+        self.details = details or {}
 
 
 class PromptHeldError(OverloadedError):
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -38,6 +38,7 @@
 from verbenashore.messages import HeartbeatReply, ItemBody, ReadItemBody, ReadResults
 from verbenashore.prober import Prober
 from verbenashore.process import Process, new_quarantine, new_rate_limits
+from verbenashore.quotagate import QuotaGate
 from verbenashore.retries import RetryDetector
 from verbenashore.routing import CallerLimits, Route, RouteIndex, RouteKind, RouteTable
 from verbenashore.transfer import Document
@@ -259,6 +260,7 @@
             lambda: self.routes,
             self._on_health_change,
         )
+        self._quota_gate = QuotaGate(process)
         self._load_reporter = LoadReporter(
             self._load_table,
             node_of(process.name, relay_settings.reports_address, settings.data_centre),
@@ -267,6 +269,7 @@
             self._on_report,
             self._dispatcher,
             self._quarantine,
+            usage_exchange=self._quota_gate.exchange,
         )
         self._retry_detector = RetryDetector()
         self._ends_at = float("inf")
@@ -411,8 +414,9 @@
         relay.prompt = self._dialect.read_prompt(call.headers)
         try:
             self._refuse_late(relay)
-            async with self._call_timeout(relay.deadline - self._clock()):
-                await self._run_attempts(relay)
+            with self._quota_gate.admitted(call.workspace, lambda: relay.runs > 0):
+                async with self._call_timeout(relay.deadline - self._clock()):
+                    await self._run_attempts(relay)
         except TimeoutError:
             self._log_end(Event.CALL_FAILED, relay, outcome="deadline")
             if respond.started:
@@ -431,6 +435,7 @@
                 relay,
                 outcome=error.message,
                 retry_after=round(error.retry_after, 3),
+                **error.details,
             )
             raise
         except (VerbenaError, ConnectionResetError) as error:
@@ -876,6 +881,7 @@
         if table.version > self.routes.table.version:
             self.routes = RouteIndex(table)
             self.server_limits.limits = table.limits
+            self._quota_gate.quotas.install(table)
         self._wake_route_waiters()
         self._update_readiness()
 
--- a/verbenashore/gossip.py
+++ b/verbenashore/gossip.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from verbenashore import logs, misc
+from verbenashore import logs, misc, usage
 from verbenashore.dispatch import Dispatcher
 from verbenashore.loadtable import LoadTable, Position, Report
 from verbenashore.loadtree import KEEPALIVE_SECONDS, LoadTree, Node, OwnLoad
@@ -19,6 +19,7 @@
 from verbenashore.quarantine import Quarantine
 from verbenashore.settings import parse_address
 from verbenashore.types import Clock, MemberName
+from verbenashore.usage import UsageExchange
 
 #: Shortest time between two exchanges; changes within it are sent in one report.
 MIN_INTERVAL_SECONDS = 0.02
@@ -48,6 +49,7 @@
         provides and takes the rates that servers state.
     :param quarantine: provides and takes the evidence against parts of prompts.
     :param takes_part: returns whether this member has calls of its own to report.
+    :param usage_exchange: the requests of workspaces; None at a member that admits none.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         dispatcher: Dispatcher,
         quarantine: Quarantine,
         takes_part: Callable[[], bool] = lambda: True,
+        usage_exchange: UsageExchange | None = None,
     ) -> None:
         self._load_table = load_table
         self._own = own
@@ -71,6 +74,7 @@
         self._dispatcher = dispatcher
         self._quarantine = quarantine
         self._takes_part = takes_part
+        self._usage_exchange = usage_exchange
         self._loop: asyncio.AbstractEventLoop | None = None
         self._next_exchange: asyncio.TimerHandle | None = None
         self._is_change_pending = False
@@ -81,9 +85,12 @@
 
     def set_members(self, members: Iterable[Member]) -> None:
         """Replaces the members that may be this one's parent."""
+        members = list(members)
         self._tree.set_nodes(
             node_of(member.name, member.address, member.data_centre) for member in members
         )
+        if self._usage_exchange is not None:
+            self._usage_exchange.set_members(members, self._clock())
 
     def mark_changed(self) -> None:
         """Sends reports soon."""
@@ -100,6 +107,10 @@
         if not self._takes_part():
             return
         try:
+            if data.startswith(usage.MARK):
+                if self._usage_exchange is not None:
+                    self._usage_exchange.receive(data, self._tree.neighbours, self._clock())
+                return
             report = _decoder.decode(data)
         except (msgspec.DecodeError, RecursionError) as error:
             logs.warning(Event.REPORT_UNREADABLE, peer=str(address), error=str(error))
@@ -168,6 +179,11 @@
         for address, report in self._tree.due_reports(own, now):
             self._send(address, report)
         self._log_parent()
+        if self._usage_exchange is not None:
+            assert self._transport is not None
+            neighbours = self._tree.neighbours
+            for address, data in self._usage_exchange.due_datagrams(neighbours, now):
+                self._transport.sendto(data, address)
 
     def _leave(self) -> None:
         for address, report in self._tree.leave():
--- a/verbenashore/loadtree.py
+++ b/verbenashore/loadtree.py
@@ -114,6 +114,12 @@
         """The members that take this one for their parent."""
         return set(self._children)
 
+    @property
+    def neighbours(self) -> list[Node]:
+        """The parent and the children."""
+        neighbours = [child.node for child in self._children.values()]
+        return neighbours if self._parent is None else [*neighbours, self._parent.node]
+
     def set_nodes(self, nodes: Iterable[Node]) -> None:
         """Replaces the members that may be parents."""
         by_name = {node.name: node for node in nodes}
--- a/verbenashore/metrics.py
+++ b/verbenashore/metrics.py
@@ -31,6 +31,7 @@
         self._counts: Counter[str] = Counter()
         self._histogram_by_name: dict[str, HdrHistogram] = {}
         self._gauge_by_name: dict[str, Callable[[], float]] = {}
+        self._gauge_groups: list[Callable[[], dict[str, float]]] = []
         self._client = (
             statsd.StatsClient(
                 statsd_daemons[0].host, statsd_daemons[0].port, prefix=f"verbena.{process}"
@@ -63,6 +64,19 @@
         """Registers a function that returns the current value of a quantity."""
         self._gauge_by_name[name] = read
 
+    def add_gauges(self, read: Callable[[], dict[str, float]]) -> None:
+        """Registers a function that returns the current values of a varying set of quantities.
+
+        They are on the metrics pages only, since there may be too many of them for a log line.
+        """
+        self._gauge_groups.append(read)
+
+    def _all_gauges(self) -> dict[str, float]:
+        values = self.gauges()
+        for read in self._gauge_groups:
+            values |= read()
+        return values
+
     def gauges(self) -> dict[str, float]:
         """Returns the current values of all gauges."""
         return {name: read() for name, read in sorted(self._gauge_by_name.items())}
@@ -71,7 +85,7 @@
         """Returns all counters and gauges, and the percentiles of all histograms in ms."""
         return {
             "counters": dict(self._counts),
-            "gauges": self.gauges(),
+            "gauges": self._all_gauges(),
             "histograms_ms": {
                 name: {
                     "count": histogram.get_total_count(),
@@ -94,7 +108,7 @@
         lines.append("# TYPE verbena_value gauge")
         lines += [
             f'verbena_value{{name="{_escape_label(name)}"}} {value:g}'
-            for name, value in self.gauges().items()
+            for name, value in self._all_gauges().items()
         ]
         lines.append("# TYPE verbena_seconds summary")
         for name, histogram in sorted(self._histogram_by_name.items()):
