--- a/verbenashore/routefinder.py
+++ b/verbenashore/routefinder.py
@@ -21,6 +21,8 @@
 #: part is drawn at random so that callers don't all retry at once.
 STARTUP_RETRY_SECONDS = 0.8
 STARTUP_RETRY_SPREAD_SECONDS = 0.8
+#: Stands for the route in the metrics of requests that name a job.
+JOB_REQUESTS = "job_requests"
 
 
 def startup_retry_seconds(source: random.Random) -> float:
@@ -110,7 +112,7 @@
             raise NotFoundError(
                 f"no route for {origin.host}{origin.path}", step="route", not_run=True
             )
-        self._check_key(origin, finding.decision, route.name)
+        self._check_key(origin, finding)
         return Admission(route, finding.decision.workspace)
 
     async def find_workspace(self, origin: CallOrigin) -> WorkspaceId | None:
@@ -122,7 +124,7 @@
         :raises UnknownKeyError: if it needs a key and has none that is known.
         """
         finding = await self._find(origin, lambda: self._look_up_job_request(origin))
-        self._check_key(origin, finding.decision, origin.path)
+        self._check_key(origin, finding)
         return finding.decision.workspace
 
     async def _find(self, origin: CallOrigin, look_up: Callable[[], _Finding]) -> _Finding:
@@ -176,17 +178,19 @@
         is_uncertain = decision.verdict is KeyVerdict.UNCERTAIN
         return _Finding(route, decision, decision.reason if is_uncertain else "")
 
-    def _check_key(self, origin: CallOrigin, decision: KeyDecision, route: str) -> None:
+    def _check_key(self, origin: CallOrigin, finding: _Finding) -> None:
         """Refuses a call without a key that is known, if it needs one.
 
         :raises UnknownKeyError: if it is refused.
         """
+        decision, route = finding.decision, finding.route
         if decision.verdict is KeyVerdict.UNKNOWN_KEY:
-            self._process.metrics.count("key_refused")
+            counted = JOB_REQUESTS if route is None else route.name
+            self._process.metrics.count(f"{counted}.key_refused")
             logs.info(
                 Event.KEY_REFUSED,
                 call=origin.call,
-                route=route,
+                route=origin.path if route is None else route.name,
                 outcome=decision.reason,
                 **self._version_fields(),
             )
