--- a/verbenashore/itemjobs.py
+++ b/verbenashore/itemjobs.py
@@ -55,7 +55,7 @@
     :param give_up_in: seconds after which its unfinished items fail; 0 means never.
     :param max_attempts: failed attempts after which an item fails.
     :param token_cap: the most tokens of its workspace that may wait on the route, or of all callers
-        if it has no workspace; 0 means no limit.
+        if the route table has no workspaces; 0 means no limit.
     :param keep_for: seconds for which its results stay readable.
     :param workspace: whose job it is; NO_WORKSPACE if its caller has none, and None if the route
         table had no workspaces.
@@ -302,8 +302,8 @@
     """All item jobs.
 
     :param waiting_by_route: tokens of the items without a result, except those of ended jobs.
-    :param waiting_by_workspace: those of them whose job has a workspace, by route and workspace;
-        there is no entry for a workspace without such tokens.
+    :param waiting_by_workspace: those of them that were submitted while workspaces were in force,
+        by route and workspace (or NO_WORKSPACE); there is no entry for one without such tokens.
     :param usual: the averages by which remaining run times are estimated.
     """
 
@@ -315,16 +315,17 @@
     def waiting_tokens(self, route: str, workspace: WorkspaceId | None) -> int:
         """Returns the waiting tokens that count for the cap of a route.
 
-        :param workspace: if there is none, the tokens of all callers count.
+        :param workspace: whose tokens count, NO_WORKSPACE for callers without one; None if those
+            of all callers count.
         """
-        if workspace:
+        if workspace is not None:
             return self.waiting_by_workspace.get(route, {}).get(workspace, 0)
         return self.waiting_by_route.get(route, 0)
 
     def add_tokens(self, route: str, workspace: WorkspaceId | None, tokens: int) -> None:
         """Adds some tokens to those that wait, or removes some if the number is negative."""
         self.waiting_by_route[route] = self.waiting_by_route.get(route, 0) + tokens
-        if not workspace:
+        if workspace is None:
             return
         waiting = self.waiting_by_workspace.setdefault(route, {})
         waiting[workspace] = waiting.get(workspace, 0) + tokens
