--- a/tests/test_itemjobs.py
+++ b/tests/test_itemjobs.py
@@ -255,7 +255,7 @@
     assert itemjobs.submit_job(table, owned_job("a3", "a", cap=40), 0.0).accepted
     assert itemjobs.submit_job(table, owned_job("b1", "b", items=4, cap=40), 0.0).accepted
     assert table.waiting_tokens("r", "a") == table.waiting_tokens("r", "b") == 40
-    # Callers without a workspace count by themselves, on a public route that workspaces have filled.
+    # Callers without a workspace count by themselves where workspaces have filled the route.
     assert itemjobs.submit_job(table, owned_job("p", "", cap=10), 0.0).waiting == 10
     assert not itemjobs.submit_job(table, owned_job("q", "", cap=10), 0.0).accepted
     # Without workspaces in force, the cap is for all callers.
--- a/verbenashore/quotagate.py
+++ b/verbenashore/quotagate.py
@@ -5,6 +5,7 @@
 
 from verbenashore import logs, misc
 from verbenashore.exceptions import OverloadedError
+from verbenashore.fairness import FairShares
 from verbenashore.logs import Event
 from verbenashore.process import Process
 from verbenashore.quotas import WorkspaceQuotas
@@ -23,6 +24,9 @@
         hashed = misc.quick_hash(process.incarnation)
         table = UsageTable()
         self.quotas = WorkspaceQuotas(table, process.clock(), hashed, self._log_limited)
+        self.fair_shares = FairShares(
+            lambda: self.quotas.names, self.quotas.recent, self.quotas.weight
+        )
         self.exchange = UsageExchange(
             process.name,
             hashed,
