Place calls by the estimated time to the first event

Callers on a fleet whose servers differ in speed got late first events and long pauses: a choice went by used slots, so slow servers, which hold their calls for longer but show free slots as soon as others do, got as many calls as fast ones.

Each member now observes how long its calls wait for data at each server, relative to what calls of the same route usually take. The sums over the last 0.2 s are two more whole numbers in a server's Load, added up along the tree. `choose` takes the better of two random servers within 60 ms of the best estimate of the time to the first event (speed, load, wait, distance, stop of an item). Items go where the free slots relative to speed are most. The checks of event numbers moved from the gateway to events.py.

No existing expectation was changed. tests/waves.py delivers a call's answer in parts, so that the dispatchers observe speeds; its test against the former policy passes as before.

--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -27,6 +27,52 @@
     dispatcher.choose = choose
 
 
+def by_ranks(dispatcher):
+    """Makes a dispatcher compare free slots, then the distance, then the used slots of two."""
+
+    def choose(ticket, now):
+        best_rank, best = (True, True), []
+        for server in dispatcher.candidates(ticket.service):
+            load = dispatcher._load_table.total(server.name)
+            usable = server.name not in ticket.excluded and dispatcher.may_use(server.name, now)
+            if not usable or load.online >= server.slots:
+                continue
+            busy = load.online + load.batch >= server.slots
+            rank = (busy, server.data_centre != dispatcher._data_centre)
+            if rank < best_rank:
+                best_rank, best = rank, []
+            if rank == best_rank:
+                best.append((load.online if busy else load.online + load.batch, server))
+        if not best:
+            return None
+        chosen = dispatcher._choice_random.sample(best, min(2, len(best)))
+        return min(chosen, key=lambda pair: pair[0])[1]
+
+    dispatcher.choose = choose
+
+
+def different_speeds(name, now):
+    """Returns the slowness of servers that differ for good, two of which are slower in turn."""
+    number = int(name[1:])
+    turn = int(now / 2.2) * 7
+    temporary = 2.5 + number % 6 / 2 if number in (turn % 26, (turn - 7) % 26) else 1.0
+    return (0.59, 1.43, 1.0, 1.0)[number % 4] * temporary
+
+
+def late_share(change):
+    """Returns the share of calls whose first event is late, on servers of different speeds."""
+    shares = [
+        Wave(25, 26, 119.0, seed, change, different_speeds).play(2 * SECONDS).shares()
+        for seed in (1, 2)
+    ]
+    return sum(1 - share["on time"] for share in shares) / len(shares)
+
+
+def test_the_estimate_leaves_fewer_calls_late_on_servers_of_different_speeds():
+    """Guards against filling the slow servers, which show free slots for longer."""
+    assert late_share(lambda _: None) < 0.4 * late_share(by_ranks)
+
+
 def sums(change):
     """Returns what callers got in three plays together."""
     total = Counter()
--- a/tests/waves.py
+++ b/tests/waves.py
@@ -12,6 +12,7 @@
 from tests.loadtrees import Fleet
 from verbenashore.directory import BackendEntry, Directory
 from verbenashore.dispatch import Dispatcher, Ticket, Verdict
+from verbenashore.speeds import CallTimer
 
 OBJECTIVE = 0.3
 TIMEOUT = 5.0
@@ -21,6 +22,10 @@
 QUEUE = 2
 #: Seconds that a call holds a slot, and that an item does if it is left alone.
 HOLD_SECONDS = 0.5
+#: Seconds to the first event of a call, and the parts in which the others come.
+FIRST_SECONDS = 0.06
+PARTS = 6
+PART_EVENTS = 4
 ITEM_SECONDS = 2.0
 RETRY_SECONDS = 0.01
 
@@ -44,9 +49,19 @@
 
     :param per_second: mean calls a second.
     :param change: called with each dispatcher, to set another policy.
+    :param slowness: returns how many times longer than the mean a server takes at a time.
     """
 
-    def __init__(self, entries=60, servers=39, per_second=208.0, seed=1, change=lambda _: None):
+    def __init__(
+        self,
+        entries=60,
+        servers=39,
+        per_second=208.0,
+        seed=1,
+        change=lambda _: None,
+        slowness=lambda _name, _now: 1.0,
+    ):
+        self.slowness = slowness
         self.fleet = Fleet(entries, seed=seed)
         self.random = self.fleet.random
         self.per_second = per_second
@@ -89,6 +104,7 @@
         share = HIGH if (now - 1.0) % PERIOD >= RISE_AT else LOW
         self._at(now + self.random.expovariate(self.per_second * share), self._arrive)
         member = self.random.choice(self.fleet.members[:-1])
+        self.dispatcher_by_name[member.node.name].speeds.refresh(now)
         self._request(now, member, now, set())
 
     def _request(self, now, member, arrived_at, excluded):
@@ -139,9 +155,22 @@
 
     def _begin(self, now, server, call):
         server.calls += 1
-        _, arrived_at, _, _ = call
-        self.outcomes["on time" if now - arrived_at + 0.06 <= OBJECTIVE else "late"] += 1
-        self._at(now + HOLD_SECONDS, self._end, server, call)
+        member, arrived_at, entry, _ = call
+        first_seconds = FIRST_SECONDS * self.slowness(entry.name, now)
+        is_on_time = now - arrived_at + first_seconds <= OBJECTIVE
+        self.outcomes["on time" if is_on_time else "late"] += 1
+        speeds = self.dispatcher_by_name[member.node.name].speeds
+        timer = CallTimer(speeds, entry, "route", now)
+        self._at(now + first_seconds, self._step_call, server, call, timer, 0)
+
+    def _step_call(self, now, server, call, timer, parts):
+        """Delivers a part of an answer; the last one ends the call."""
+        timer.record_events(1 if not parts else PART_EVENTS, now)
+        if parts == PARTS:
+            self._end(now, server, call)
+            return
+        seconds = (HOLD_SECONDS - FIRST_SECONDS) / PARTS * self.slowness(call[2].name, now)
+        self._at(now + seconds, self._step_call, server, call, timer, parts + 1)
 
     def _end(self, now, server, call):
         member, _, entry, sent_at = call
--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -12,8 +12,10 @@
 import msgspec
 
 from verbenashore.directory import BackendEntry, Directory
-from verbenashore.loadtable import LoadTable
+from verbenashore.estimates import MARGIN_SECONDS, Costs, Estimate
+from verbenashore.loadtable import Load, LoadTable
 from verbenashore.ratelimits import RateLimits
+from verbenashore.speeds import Speeds
 from verbenashore.types import BackendName, ServiceName, WorkspaceId
 
 #: Shortest and longest Retry-After, in seconds, that a refused caller gets.
@@ -47,7 +49,7 @@
 #: Servers that one choice compares.  With more, each choice takes a random sample, half of it from
 #: the own data centre, so that its cost doesn't grow with the fleet.
 MAX_CANDIDATES = 64
-#: Servers of the best kind of which one choice takes the less loaded.
+#: Servers with nearly the best estimate of which one choice compares the exact ones.
 CHOICES = 2
 #: Weight of the newest call in the moving average of the time that a service's calls hold a slot.
 HOLD_WEIGHT = 0.05
@@ -80,6 +82,7 @@
         caller's last attempt.
     :param excluded: servers at which an attempt of the call has failed.
     :param workspace: whose call it is; None if the route table has no workspaces.
+    :param estimate: the terms by which a server was chosen last.
     """
 
     id: str
@@ -90,6 +93,7 @@
     accepts_late: bool = False
     excluded: set[BackendName] = msgspec.field(default_factory=set)
     workspace: WorkspaceId | None = None
+    estimate: Estimate | None = None
 
 
 class Decision(msgspec.Struct, frozen=True):
@@ -165,6 +169,7 @@
         limits: RateLimits | None = None,
     ) -> None:
         self.limits = limits or RateLimits(load_table)
+        self.speeds = Speeds(directory, load_table)
         self._directory = directory
         self._load_table = load_table
         self._data_centre = data_centre
@@ -173,6 +178,7 @@
         self._waiting: list[Ticket] = []
         self._health_by_name: dict[BackendName, Health] = {}
         self._hold_by_service: dict[ServiceName, float] = {}
+        self._costs_by_service: dict[ServiceName, Costs] = {}
 
     @property
     def waiting(self) -> int:
@@ -315,6 +321,8 @@
     def forget(self, names: list[BackendName]) -> None:
         """Drops the health of servers that are no longer listed."""
         self.limits.forget(names)
+        self.speeds.forget(names)
+        self._load_table.forget_backends(names)
         for name in names:
             self._health_by_name.pop(name, None)
 
@@ -331,31 +339,48 @@
         """Returns a usable server that has fewer online calls than slots, or None.
 
         Slots that job items use count as free here, since items yield to online calls.  Of the
-        usable servers, those with a free slot go before those where an item must yield, and near
-        ones before others; of the best kind, the less loaded of ``CHOICES`` random ones is taken.
-        Answers calls that many members place at the same time by reports that are some exchanges
-        old: if all took the least loaded server, it would be full before they learn of each other.
+        usable servers whose estimated time to the first event is near the best one, the better of
+        ``CHOICES`` random ones is taken.  Answers calls that many members place at the same time by
+        reports that are some exchanges old: if all took the best server, it would be full before
+        they learn of each other.
         """
-        best_rank = (True, True)
-        best: list[tuple[float, BackendEntry]] = []
-        share = self._waiting_share(ticket.service) if self.limits.any_limited else 1.0
+        usable: list[tuple[float, BackendEntry, Load]] = []
+        best = float("inf")
+        excluded, has_health = ticket.excluded, bool(self._health_by_name)
+        is_limited = self.limits.any_limited
+        share = self._waiting_share(ticket.service) if is_limited else 1.0
+        total = self._load_table.total
+        costs = self._costs(ticket.service)
         for server in self.candidates(ticket.service):
-            if server.name in ticket.excluded or not self.may_use(server.name, now):
+            name = server.name
+            if name in excluded or (has_health and not self.may_use(name, now)):
                 continue
-            load = self._load_table.total(server.name)
-            if load.online >= server.slots or not self.limits.may_send(server.name, share):
+            load = total(name)
+            if load.online >= server.slots:
                 continue
-            busy = load.online + load.batch >= server.slots
-            rank = (busy, server.data_centre != self._data_centre)
-            if rank < best_rank:
-                best_rank, best = rank, []
-            if rank == best_rank:
-                used = load.online if busy else load.online + load.batch
-                best.append((used / server.slots, server))
-        if not best:
+            if is_limited and not self.limits.may_send(name, share):
+                continue
+            seconds = costs.seconds(server, load)
+            usable.append((seconds, server, load))
+            if seconds < best:
+                best = seconds
+        if not usable:
             return None
-        chosen = self._choice_random.sample(best, min(CHOICES, len(best)))
-        return min(chosen, key=lambda pair: pair[0])[1]
+        best += MARGIN_SECONDS
+        similar = [option for option in usable if option[0] <= best]
+        chosen = self._choice_random.sample(similar, min(CHOICES, len(similar)))
+        _, server, load = min(chosen, key=lambda option: option[0])
+        ticket.estimate = costs.estimate(server, load)
+        return server
+
+    def _costs(self, service: ServiceName) -> Costs:
+        """Returns the estimates for a service, new ones when what they rest on has changed."""
+        first, hold = self.speeds.first_seconds(service), self._hold_seconds(service)
+        costs = self._costs_by_service.get(service)
+        if costs is None or not costs.is_based_on(self.speeds.version, first, hold):
+            costs = Costs(self.speeds, self._data_centre, first, hold)
+            self._costs_by_service[service] = costs
+        return costs
 
     def has_usable(self, service: ServiceName, excluded: set[BackendName], now: float) -> bool:
         """Returns whether a service has a server beside the excluded ones that may get calls now.
--- a/verbenashore/events.py
+++ b/verbenashore/events.py
@@ -42,6 +42,35 @@
     is_empty: bool = False
 
 
+def check_numbers(
+    events: list[ServerEvent], last: int | None, *, resumed: bool, unnumbered: bool
+) -> tuple[int | None, bool]:
+    """Checks that the next events of a stream have consecutive numbers.
+
+    Returns the number of the last event, and whether any event so far had none.
+
+    :param last: the number of the last event before them; None if there is none.
+    :param resumed: whether the stream was begun by another server; each of these events must then
+        have a number, since its place in the stream is unknown without.
+    :param unnumbered: whether an event before them had no number.
+    :raises BackendError: if one doesn't fit; none of them is to be sent then.
+    """
+    for event in events:
+        if event.number != NO_NUMBER:
+            if last is not None and event.number != last + 1:
+                raise BackendError(
+                    f"event {event.number} after event {last}", step="events", peer=""
+                )
+            last = event.number
+        elif not event.is_empty:
+            if resumed:
+                raise BackendError(
+                    f"event without a number after event {last}", step="events", peer=""
+                )
+            unnumbered = True
+    return last, unnumbered
+
+
 class EventSplitter:
     """Buffers bytes until an event is complete.
 
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -16,7 +16,7 @@
 from verbenashore.client import GroupClient
 from verbenashore.directory import BackendEntry, Directory
 from verbenashore.dispatch import Dispatcher, Ticket, Verdict
-from verbenashore.events import NO_NUMBER, EventSplitter, ServerEvent, is_event_stream
+from verbenashore.events import EventSplitter, check_numbers, is_event_stream
 from verbenashore.exceptions import (
     BackendError,
     BackendReplacedError,
@@ -37,9 +37,10 @@
 from verbenashore.logs import Event
 from verbenashore.messages import HeartbeatReply, ItemBody, ReadItemBody, ReadResults
 from verbenashore.prober import Prober
-from verbenashore.process import Process, new_quarantine, new_rate_limits
+from verbenashore.process import Process, log_speed, new_quarantine, new_rate_limits
 from verbenashore.retries import RetryDetector
 from verbenashore.routing import CallerLimits, Route, RouteIndex, RouteKind, RouteTable
+from verbenashore.speeds import CallTimer
 from verbenashore.transfer import Document
 from verbenashore.types import (
     CONTROL_GROUP,
@@ -244,6 +245,7 @@
             misc.quick_hash(process.incarnation),
             new_rate_limits(process, self._load_table),
         )
+        self._dispatcher.speeds.on_change = log_speed
         self._call_queue = CallQueue(self._dispatcher, process.clock)
         self._list_updater = BackendListUpdater(
             self._directory,
@@ -669,6 +671,7 @@
             list_age=round(self._list_updater.age, 3),
             version=self.routes.table.version,
             age=round(self._clock() - relay.arrived_at, 4),
+            **(ticket.estimate.log_fields() if ticket.estimate is not None else {}),
         )
         return decision.server
 
@@ -682,6 +685,9 @@
             share = STALL_SHARE if route.kind is RouteKind.STREAM else WHOLE_STALL_SHARE
             send_seconds = transfer.transfer_seconds(len(relay.call.body))
             progress_timeout = min(remaining, route.objective * share + send_seconds)
+        timer = CallTimer(
+            self._dispatcher.speeds, server, route.name, self._clock(), relay.respond.started
+        )
         try:
             async with backendcall.open_call(
                 self._dialect,
@@ -697,9 +703,9 @@
             ) as opened:
                 relay.received_at = self._clock()
                 if route.kind is RouteKind.STREAM and opened.head.status == SUCCESS:
-                    await self._relay_stream(relay, opened)
+                    await self._relay_stream(relay, opened, timer)
                 else:
-                    await self._relay_whole_response(relay, opened)
+                    await self._relay_whole_response(relay, opened, timer)
         except BackendError as error:
             if error.not_run:
                 relay.runs -= 1
@@ -733,7 +739,7 @@
             if self._quarantine.record_answer(relay.prompt):
                 self._load_reporter.mark_changed()
 
-    async def _relay_whole_response(self, relay: Relay, opened: OpenCall) -> None:
+    async def _relay_whole_response(self, relay: Relay, opened: OpenCall, timer: CallTimer) -> None:
         head = opened.head
         if relay.respond.started:
             raise BackendError(
@@ -751,6 +757,8 @@
                     f"the answer is longer than {MAX_ANSWER_BYTES} bytes", step="body", peer=""
                 )
         body = bytes(answer)
+        if head.status == SUCCESS:
+            timer.record_events(1, self._clock())
         if head.status >= 500 and not relay.is_last_attempt:
             raise BackendError(f"status {head.status}", step="head", peer="")
         if head.status in NOT_RUN_STATUSES:
@@ -764,10 +772,10 @@
             head.status, [*head.headers, (b"content-length", b"%d" % len(body))], body
         )
 
-    async def _relay_stream(self, relay: Relay, opened: OpenCall) -> None:
+    async def _relay_stream(self, relay: Relay, opened: OpenCall, timer: CallTimer) -> None:
         has_events = is_event_stream(opened.exchange.content_type)
         if relay.route.resumable and not has_events:
-            await self._relay_whole_response(relay, opened)
+            await self._relay_whole_response(relay, opened, timer)
             return
         relay.set_step(Step.EVENTS, self._clock())
         pause = relay.route.pause or DEFAULT_PAUSE_SECONDS
@@ -781,7 +789,13 @@
             has_content = has_content or any(not event.is_empty for event in events)
             if has_content or not has_events:
                 self._record_begun(relay)
-            data = self._join_events(relay, events, resumed=resumed) if resumable else part
+            timer.record_events(sum(not event.is_empty for event in events), relay.received_at)
+            data = part
+            if resumable:
+                relay.last_event, relay.unnumbered = check_numbers(
+                    events, relay.last_event, resumed=resumed, unnumbered=relay.unnumbered
+                )
+                data = b"".join(event.raw for event in events)
             opened.exchange.set_read_timeout(
                 relay.route.timeout if relay.is_last_attempt else pause * STALL_SHARE
             )
@@ -793,6 +807,7 @@
                 )
             relay.record_bytes_sent(self._clock())
             await relay.respond.send_chunk(data)
+            timer.record_sent(self._clock())
         if splitter.is_inside_event:
             raise BackendError("the stream ended inside an event", step="events", peer="")
         if has_events and not has_content and not opened.exchange.framed:
@@ -803,32 +818,6 @@
             await relay.respond.send_chunk(splitter.partial)
         await relay.respond.end_stream()
 
-    @staticmethod
-    def _join_events(relay: Relay, events: list[ServerEvent], *, resumed: bool) -> bytes:
-        """Returns the bytes of the next events; their numbers must be consecutive.
-
-        :param resumed: whether the stream was begun by another server; each of these events must
-            then have a number, since its place in the stream is unknown without.
-        """
-        last = relay.last_event
-        unnumbered = relay.unnumbered
-        for event in events:
-            if event.number != NO_NUMBER:
-                if last is not None and event.number != last + 1:
-                    raise BackendError(
-                        f"event {event.number} after event {last}", step="events", peer=""
-                    )
-                last = event.number
-            elif not event.is_empty:
-                if resumed:
-                    raise BackendError(
-                        f"event without a number after event {last}", step="events", peer=""
-                    )
-                unnumbered = True
-        # If one doesn't fit, none of them is sent, so none of them counts.
-        relay.last_event, relay.unnumbered = last, unnumbered
-        return b"".join(event.raw for event in events)
-
     async def _refresh_stale_list(self) -> None:
         """Reads the backend list at its source while no list is known or the known one is stale."""
         while True:
@@ -868,6 +857,7 @@
 
     def _on_list_change(self) -> None:
         self._list_received.set()
+        self._dispatcher.speeds.set_gauges(self._process.metrics)
         self._call_queue.wake()
         self._update_readiness()
 
--- a/verbenashore/gossip.py
+++ b/verbenashore/gossip.py
@@ -127,7 +127,7 @@
             assert self._next_exchange is not None
             self._next_exchange.cancel()
             self._loop = None
-            self._load_table.local_by_backend.clear()
+            self._load_table.clear_local()
             self._leave()
             self._transport.close()
 
@@ -156,6 +156,7 @@
                 self._leave()
             return
         now = self._clock()
+        self._dispatcher.speeds.refresh(now)
         for member in self._tree.expire(now):
             logs.info(Event.REPORTS_MISSING, member=member)
             self._on_report(None)
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -34,6 +34,7 @@
 from verbenashore.prober import Prober
 from verbenashore.quarantine import Quarantine
 from verbenashore.routing import RouteIndex
+from verbenashore.speeds import CallTimer
 from verbenashore.types import BackendName, ChainId, Clock, JobId, Prompt, ServiceName
 
 #: Seconds without data after which an attempt fails and the item moves to another server.
@@ -64,6 +65,8 @@
 MAX_SCHEDULING_INTERVAL_SECONDS = 0.02
 #: HTTP status of an item that no attempt can complete.
 IMPOSSIBLE_STATUS = 422
+#: Kind of observations of the speed of servers that items give.
+ITEMS_LABEL = "items"
 NO_SERVERS: set[BackendName] = set()
 
 
@@ -367,10 +370,13 @@
     ) -> BackendEntry | None:
         """Returns the server with the most free slots beyond the reserved ones, or None.
 
+        A free slot of a slow server counts for less.
+
         :param excluded: servers to pass over; emptied if it holds all servers of the service.
         """
         best = None
-        most_free = 0
+        most_room = 0.0
+        speeds = self._dispatcher.speeds
         if excluded and excluded.issuperset(
             server.name for server in self._directory.accepting_servers(service)
         ):
@@ -382,12 +388,13 @@
             free = server.slots - RESERVED_SLOTS - total.online - total.batch
             if now < self._yielded_at.get(server.name, float("-inf")) + YIELD_PAUSE_SECONDS:
                 continue
+            room = free / speeds.factor(server.name)
             if (
-                free > most_free
+                room > most_room
                 and self._dispatcher.may_use(server.name, now)
                 and self._dispatcher.may_use_in_background(server)
             ):
-                best, most_free = server, free
+                best, most_room = server, room
         return best
 
     def _start_run(
@@ -568,6 +575,9 @@
         if not is_event_stream(opened.exchange.content_type):
             raise BackendError("not an event stream", step="head", peer=run.server.name)
         splitter = EventSplitter()
+        timer = CallTimer(
+            self._dispatcher.speeds, run.server, ITEMS_LABEL, self._clock(), is_resumed=True
+        )
         has_content = False
         # Nobody waits for a single event of an item, so several are read at once.
         opened.exchange.read_pause = READ_PAUSE_SECONDS
@@ -576,6 +586,7 @@
             events = [event for event in splitter.feed(chunk) if not event.is_empty]
             if events:
                 has_content = True
+                timer.record_events(len(events), self._clock())
                 event_timeout.reschedule(clock() + EVENT_TIMEOUT_SECONDS)
             for event in events:
                 if event.number == NO_NUMBER:
--- a/verbenashore/loadtable.py
+++ b/verbenashore/loadtable.py
@@ -1,6 +1,7 @@
 """The load of each backend server, from the reports of the members that send calls to it."""
 
 from collections import Counter
+from collections.abc import Iterable
 
 import msgspec
 
@@ -11,6 +12,10 @@
 #: calls of a frozen or partitioned member keep running on the servers for seconds.  A killed member
 #: needs no shorter time: it restarts earlier, and its new report replaces the old one.
 REPORT_SECONDS = 4.0
+#: Largest ``observed`` that one report may state for a server, and ``slowness`` per unit of it.
+#: All members together observe up to 30 units for each slot of a server.
+MAX_OBSERVED = 4096
+MAX_SLOWNESS = 20
 #: Seconds without a report after which the calls that a member passed on no longer count.  Short,
 #: because their own members report them by another way as soon as that one is silent.
 RELAYED_SECONDS = 0.5
@@ -23,11 +28,16 @@
     :param batch: running items of item jobs, which yield to online calls.
     :param started: requests of the last seconds to a server that states a rate; see
         :mod:`verbenashore.ratelimits`.
+    :param observed: time for which the calls have lately waited for data of the server, in units of
+        :mod:`verbenashore.speeds`.
+    :param slowness: how much longer that was than usual, as a sum over that time.
     """
 
     online: int = 0
     batch: int = 0
     started: int = 0
+    observed: int = 0
+    slowness: int = 0
 
 
 class Statement(msgspec.Struct, frozen=True, array_like=True):
@@ -105,11 +115,27 @@
         self.local_by_backend: dict[BackendName, Load] = {}
         self.received_by_member: dict[MemberName, ReceivedReport] = {}
         self._remote_by_backend: dict[BackendName, Load] = {}
+        self._total_by_backend: dict[BackendName, Load] = {}
         self._remote_waiting_by_service: Counter[ServiceName] = Counter()
 
-    def add(self, backend: BackendName, online: int = 0, batch: int = 0, started: int = 0) -> None:
+    def add(
+        self,
+        backend: BackendName,
+        online: int = 0,
+        batch: int = 0,
+        started: int = 0,
+        observed: int = 0,
+        slowness: int = 0,
+    ) -> None:
         """Changes the numbers of this member's own calls; negative numbers remove calls."""
-        _add(self.local_by_backend, backend, Load(online, batch, started))
+        change = Load(online, batch, started, observed, slowness)
+        _add(self.local_by_backend, backend, change)
+        self._total_by_backend.pop(backend, None)
+
+    def clear_local(self) -> None:
+        """Removes all of this member's own calls."""
+        self.local_by_backend.clear()
+        self._total_by_backend.clear()
 
     def record_report(self, report: Report, now: float) -> bool:
         """Records a report; returns False if it isn't newer than the last of that incarnation."""
@@ -119,7 +145,7 @@
         )
         if previous is not None and same_incarnation and report.number <= previous.report.number:
             return False
-        self._replace(report.member, ReceivedReport(report, now))
+        self._replace(report.member, ReceivedReport(_bounded(report), now))
         return True
 
     def expire(self, now: float) -> list[MemberName]:
@@ -142,11 +168,21 @@
 
     def total(self, backend: BackendName) -> Load:
         """Returns the calls of all members at one backend server."""
-        remote = self._remote_by_backend.get(backend)
-        local = self.local_by_backend.get(backend)
-        if remote is None or local is None:
-            return remote or local or NO_LOAD
-        return _sum(remote, local)
+        total = self._total_by_backend.get(backend)
+        if total is None:
+            remote = self._remote_by_backend.get(backend, NO_LOAD)
+            total = _sum(remote, self.local_by_backend.get(backend, NO_LOAD))
+            self._total_by_backend[backend] = total
+        return total
+
+    def forget_backends(self, backends: Iterable[BackendName]) -> None:
+        """Drops what is kept of servers that are no longer listed, beside their calls."""
+        for backend in backends:
+            self._total_by_backend.pop(backend, None)
+
+    def local(self, backend: BackendName) -> Load:
+        """Returns this member's own calls at one backend server."""
+        return self.local_by_backend.get(backend, NO_LOAD)
 
     def remote_waiting(self, service: ServiceName) -> int:
         """Returns the number of calls that wait for a service at other members."""
@@ -198,6 +234,7 @@
             old, new = before.get(backend, NO_LOAD), after.get(backend, NO_LOAD)
             if old != new:
                 _add(self._remote_by_backend, backend, _sum(new, _negative(old)))
+                self._total_by_backend.pop(backend, None)
 
 
 NO_LOAD = Load()
@@ -205,11 +242,48 @@
 
 
 def _sum(one: Load, other: Load) -> Load:
-    return Load(one.online + other.online, one.batch + other.batch, one.started + other.started)
+    return Load(
+        one.online + other.online,
+        one.batch + other.batch,
+        one.started + other.started,
+        one.observed + other.observed,
+        one.slowness + other.slowness,
+    )
 
 
 def _negative(load: Load) -> Load:
-    return Load(-load.online, -load.batch, -load.started)
+    return Load(-load.online, -load.batch, -load.started, -load.observed, -load.slowness)
+
+
+def _bounded(report: Report) -> Report:
+    """Returns a report without observations out of bounds, which would distort all sums.
+
+    Such a server counts as not observed by the sender.
+    """
+    if all(
+        _is_valid(load)
+        for loads in (report.load_by_backend, report.relayed_by_backend)
+        for load in loads.values()
+    ):
+        return report
+    return msgspec.structs.replace(
+        report,
+        load_by_backend=_without_invalid(report.load_by_backend),
+        relayed_by_backend=_without_invalid(report.relayed_by_backend),
+    )
+
+
+def _without_invalid(by_backend: dict[BackendName, Load]) -> dict[BackendName, Load]:
+    return {
+        backend: (
+            load if _is_valid(load) else msgspec.structs.replace(load, observed=0, slowness=0)
+        )
+        for backend, load in by_backend.items()
+    }
+
+
+def _is_valid(load: Load) -> bool:
+    return 0 <= load.observed <= MAX_OBSERVED and abs(load.slowness) <= MAX_SLOWNESS * load.observed
 
 
 def _add(by_backend: dict[BackendName, Load], backend: BackendName, load: Load) -> None:
--- a/verbenashore/process.py
+++ b/verbenashore/process.py
@@ -21,6 +21,7 @@
 from verbenashore.messages import Sender
 from verbenashore.quarantine import Hold, Quarantine
 from verbenashore.ratelimits import RateLimits
+from verbenashore.speeds import SLOW_FACTOR
 from verbenashore.types import BackendName, Clock, MemberName, PromptPart, Revision, UnixClock
 from verbenashore.version import __version__
 
@@ -128,6 +129,12 @@
     return Quarantine(running.unix_clock, on_change)
 
 
+def log_speed(server: BackendName, factor: float) -> None:
+    """Logs that a backend server has become much slower than the mean, or usual again."""
+    event = Event.BACKEND_SLOWED if factor >= SLOW_FACTOR else Event.BACKEND_RECOVERED
+    logs.info(event, server=server, factor=round(factor, 2))
+
+
 def new_rate_limits(running: Process, load_table: LoadTable) -> RateLimits:
     """Returns the rates that servers state, with a log line for each change."""
 
