Prefer servers that have a part of the prompt cached

A call whose prompt begins like one that a server has just processed was placed without regard to that, so servers processed the prompts of sessions again.

Each entry now remembers which segments it lately sent to which server, in bounded memory, and subtracts the saved time from the estimate. The two random servers are compared with those that have a segment cached, so a busy server loses the call. A server that failed in another way than by silence, or left the list, has nothing cached. The dialect reads the size of a call; numbers that can't be read count as 0.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -213,6 +213,29 @@
     assert wire.DIALECT.read_prompt([(b"x-other", b"1")]) == ()
 
 
+@pytest.mark.parametrize(
+    ("usage", "hint", "prompt", "output"),
+    [
+        (b"450,300", None, 450, 300),
+        (b" 450 , 300", b"120", 450, 120),
+        (b"450,300", b"900", 450, 300),
+        (b"450", b"120", 450, 0),
+        (b"-1,1e9", b"x", 0, 0),
+        (b"99999999999999999999,5", b"\xff", 0, 0),
+    ],
+)
+def test_the_size_of_a_call_is_read_from_its_headers(usage, hint, prompt, output):
+    headers = [
+        (b"X-Verbenashore-Prompt-Prefix", b"5C1e:200, 91bd:250,e440"),
+        (b"X-Verbenashore-Token-Usage", usage),
+        *([(b"x-verbenashore-length-hint", hint)] if hint is not None else []),
+    ]
+    size = wire.DIALECT.read_size(headers)
+    assert (size.segments, size.segment_tokens) == (("5c1e", "91bd", "e440"), (200, 250, 0))
+    assert (size.prompt, size.output) == (prompt, output)
+    assert wire.DIALECT.read_size([(b"x-other", b"1")]).tokens == 0
+
+
 @pytest.mark.parametrize("name", ["x-verbenashore-deadline-ms", "last-event-id"])
 @pytest.mark.parametrize("text", ["nan", "inf", "1e999", "-1", "1_0", "9" * 5000, ""])
 def test_a_number_in_a_header_that_is_none_is_refused_with_its_name(name, text):
--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -12,6 +12,7 @@
 from verbenashore.dispatch import FailureKind
 from verbenashore.exceptions import BackendBusyError, BackendError, BackendReplacedError
 from verbenashore.httpclient import Exchange
+from verbenashore.prefixes import NO_SIZE, PromptSize
 from verbenashore.settings import parse_address
 from verbenashore.types import Prompt, WorkspaceId
 
@@ -92,6 +93,7 @@
         the number of the last event, if any.
     :param read_head: decodes the status and headers of an answer.
     :param read_prompt: returns the parts of a call's prompt from its headers, or none.
+    :param read_size: returns the size of a call from its headers.
     """
 
     call_headers: Callable[
@@ -99,6 +101,7 @@
     ]
     read_head: Callable[[int, list[tuple[bytes, bytes]]], AnswerHead]
     read_prompt: Callable[[Headers], Prompt] = lambda _headers: ()
+    read_size: Callable[[Headers], PromptSize] = lambda _headers: NO_SIZE
 
 
 #: Is called with a server that states that it leaves.
--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -14,6 +14,7 @@
 from verbenashore.directory import BackendEntry, Directory
 from verbenashore.estimates import MARGIN_SECONDS, Costs, Estimate
 from verbenashore.loadtable import Load, LoadTable
+from verbenashore.prefixes import NO_SIZE, PromptSize, SentPrefixes
 from verbenashore.ratelimits import RateLimits
 from verbenashore.speeds import Speeds
 from verbenashore.types import BackendName, ServiceName, WorkspaceId
@@ -82,6 +83,7 @@
         caller's last attempt.
     :param excluded: servers at which an attempt of the call has failed.
     :param workspace: whose call it is; None if the route table has no workspaces.
+    :param size: the tokens of the call.
     :param estimate: the terms by which a server was chosen last.
     """
 
@@ -93,6 +95,7 @@
     accepts_late: bool = False
     excluded: set[BackendName] = msgspec.field(default_factory=set)
     workspace: WorkspaceId | None = None
+    size: PromptSize = NO_SIZE
     estimate: Estimate | None = None
 
 
@@ -170,6 +173,7 @@
     ) -> None:
         self.limits = limits or RateLimits(load_table)
         self.speeds = Speeds(directory, load_table)
+        self.prefixes = SentPrefixes()
         self._directory = directory
         self._load_table = load_table
         self._data_centre = data_centre
@@ -252,6 +256,8 @@
         """
         if kind is not FailureKind.REPORTED and name not in self._directory.by_name:
             return False
+        if kind is not FailureKind.SILENT:
+            self.prefixes.clear(name, now)
         health = self._health_by_name.setdefault(name, Health())
         if kind is FailureKind.REPORTED and health.suspected:
             return False
@@ -322,6 +328,7 @@
         """Drops the health of servers that are no longer listed."""
         self.limits.forget(names)
         self.speeds.forget(names)
+        self.prefixes.forget(names)
         self._load_table.forget_backends(names)
         for name in names:
             self._health_by_name.pop(name, None)
@@ -342,7 +349,8 @@
         usable servers whose estimated time to the first event is near the best one, the better of
         ``CHOICES`` random ones is taken.  Answers calls that many members place at the same time by
         reports that are some exchanges old: if all took the best server, it would be full before
-        they learn of each other.
+        they learn of each other.  A server that has a part of the prompt cached is taken instead if
+        it saves more time than it costs otherwise.
         """
         usable: list[tuple[float, BackendEntry, Load]] = []
         best = float("inf")
@@ -369,8 +377,15 @@
         best += MARGIN_SECONDS
         similar = [option for option in usable if option[0] <= best]
         chosen = self._choice_random.sample(similar, min(CHOICES, len(similar)))
+        cached = self.prefixes.cached_tokens(ticket.size, now) if ticket.size.segments else {}
+        if cached:
+            chosen += [option for option in usable if option[1].name in cached]
+            chosen = [
+                (seconds - costs.saved_seconds(server, cached.get(server.name, 0)), server, load)
+                for seconds, server, load in chosen
+            ]
         _, server, load = min(chosen, key=lambda option: option[0])
-        ticket.estimate = costs.estimate(server, load)
+        ticket.estimate = costs.estimate(server, load, cached.get(server.name, 0))
         return server
 
     def _costs(self, service: ServiceName) -> Costs:
--- a/verbenashore/estimates.py
+++ b/verbenashore/estimates.py
@@ -10,6 +10,7 @@
 
 from verbenashore.directory import BackendEntry
 from verbenashore.loadtable import Load
+from verbenashore.prefixes import MAX_SAVED_SECONDS, PREFILL_TOKENS_PER_SECOND
 from verbenashore.speeds import LOAD_SLOWDOWN, Speeds
 from verbenashore.types import BackendName
 
@@ -38,6 +39,7 @@
         place them there at the same time.
     :param distance: for a server in another data centre.
     :param stop: for an item of a job that has to make room.
+    :param saved: for the part of the prompt that the server has cached.
     """
 
     factor: float
@@ -45,11 +47,12 @@
     wait: float
     distance: float
     stop: float
+    saved: float = 0.0
 
     @property
     def seconds(self) -> float:
         """The sum of the terms."""
-        return self.first + self.wait + self.distance + self.stop
+        return self.first + self.wait + self.distance + self.stop - self.saved
 
     def log_fields(self) -> dict[str, object]:
         """Returns the terms as log fields, in milliseconds."""
@@ -60,6 +63,7 @@
             "wait_ms": round(self.wait * 1000, 1),
             "distance_ms": round(self.distance * 1000, 1),
             "stop_ms": round(self.stop * 1000, 1),
+            "saved_ms": round(self.saved * 1000, 1),
         }
 
 
@@ -97,8 +101,16 @@
         self._known[server.name] = (load, seconds)
         return seconds
 
-    def estimate(self, server: BackendEntry, load: Load) -> Estimate:
-        """Returns the terms of the estimate for a server under some load."""
+    def saved_seconds(self, server: BackendEntry, tokens: int) -> float:
+        """Returns the time that a server saves by some cached tokens of a prompt."""
+        seconds = min(MAX_SAVED_SECONDS, tokens / PREFILL_TOKENS_PER_SECOND)
+        return self._speeds.factor(server.name) * seconds
+
+    def estimate(self, server: BackendEntry, load: Load, cached_tokens: int = 0) -> Estimate:
+        """Returns the terms of the estimate for a server under some load.
+
+        :param cached_tokens: the tokens of the prompt that the server has cached.
+        """
         factor, slots = self._speeds.factor(server.name), server.slots
         used = (load.online + load.batch) / slots
         # Where items use all slots, each call makes one of them stop.
@@ -109,4 +121,5 @@
             factor * self._hold / slots * waiting**WAIT_EXPONENT,
             FAR_SECONDS if server.data_centre != self._data_centre else 0.0,
             STOP_SECONDS if used >= 1 else 0.0,
+            self.saved_seconds(server, cached_tokens),
         )
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -411,6 +411,7 @@
         relay = Relay(call, route, now, now + timeout, ticket, respond, step_since=now)
         relay.last_event = call.last_event
         relay.prompt = self._dialect.read_prompt(call.headers)
+        ticket.size = self._dialect.read_size(call.headers)
         try:
             self._refuse_late(relay)
             async with self._call_timeout(relay.deadline - self._clock()):
@@ -660,6 +661,7 @@
                 raise OutcomeUnknownError(decision.reason, step="place")
             raise OverloadedError(decision.reason, step="place", retry_after=decision.retry_after)
         self._load_reporter.mark_changed()
+        self._dispatcher.prefixes.record(ticket.size, decision.server.name, self._clock())
         total = self._load_table.total(decision.server.name)
         logs.info(
             Event.CALL_PLACED,
