Give validation errors the path of their field

Operators got the errors of a route table without the position of the field, and a deployment file that was nested too deeply or had a number of thousands of digits was answered with an internal error: the parser raises RecursionError and ValueError for these, which were not expected.

routing.field_errors returns path, owner and message; validation_errors makes the same lines of it as before.

--- a/tests/test_deployment.py
+++ b/tests/test_deployment.py
@@ -76,5 +76,12 @@
         deployment.parse("a = = b")
 
 
+@pytest.mark.parametrize("value", ["[" * 100_000, "9" * 5000])
+def test_a_file_that_the_parser_gives_up_on_is_refused(value):
+    """Guards against an internal error where the file is at fault."""
+    with pytest.raises(DeploymentError, match="file: "):
+        deployment.parse(f"a = {value}")
+
+
 def test_a_difference_contains_the_changed_lines():
     assert deployment.difference("a = 1\n", "a = 2\n")[-2:] == ["-a = 1", "+a = 2"]
--- a/verbenashore/deployment.py
+++ b/verbenashore/deployment.py
@@ -167,10 +167,26 @@
 
     :raises DeploymentError: with all problems found, each starting with its key.
     """
+    return from_document(load(text))
+
+
+def load(text: str) -> dict[str, Any]:
+    """Returns the contents of a TOML file, not yet validated.
+
+    :raises DeploymentError: if it is not TOML.
+    """
     try:
-        document = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+        return tomllib.loads(text)
+    except (ValueError, RecursionError) as error:
+        # Numbers of too many digits and deep nesting raise other errors than bad syntax.
         raise DeploymentError([f"file: {error}"]) from None
+
+
+def from_document(document: dict[str, Any]) -> Deployment:
+    """Validates the contents of a deployment file.
+
+    :raises DeploymentError: with all problems found, each starting with its key.
+    """
     problems: list[str] = []
     problems.extend(
         f"{key}: unknown key" for key in document if key not in _TABLE_ARRAYS and key not in _TABLES
--- a/verbenashore/routing.py
+++ b/verbenashore/routing.py
@@ -144,46 +144,71 @@
     return _decoder.decode(text.encode()) if text else RouteTable()
 
 
+class FieldError(msgspec.Struct, frozen=True):
+    """A field that makes a table invalid.
+
+    :param path: of the field, such as ``routes[3].timeout``.
+    :param owner: the route or workspace that has it.
+    """
+
+    path: str
+    owner: str
+    message: str
+
+
 def validation_errors(table: RouteTable) -> list[str]:
     """Returns the validation errors of a table, one line each, with the name of the route."""
-    errors = []
+    return [f"{error.owner}: {error.message}" for error in field_errors(table)]
+
+
+def field_errors(table: RouteTable) -> list[FieldError]:
+    """Returns the validation errors of a table; a table without any is valid."""
+    errors: list[FieldError] = []
     names = {service.name for service in table.services}
     prefix_counts = Counter((route.host, route.prefix) for route in table.routes)
-    for route in table.routes:
-        label = f"route {route.name!r}"
+    for position, route in enumerate(table.routes):
+        path, owner = f"routes[{position}]", f"route {route.name!r}"
         errors += [
-            f"{label}: service {share.service!r} is unknown"
-            for share in route.shares
+            FieldError(
+                f"{path}.shares[{number}].service", owner, f"service {share.service!r} is unknown"
+            )
+            for number, share in enumerate(route.shares)
             if share.service not in names
         ]
         if prefix_counts[route.host, route.prefix] > 1:
-            errors.append(f"{label}: another route has host {route.host!r} and this prefix")
+            message = f"another route has host {route.host!r} and this prefix"
+            errors.append(FieldError(f"{path}.prefix", owner, message))
         if sum(share.weight for share in route.shares) <= 0:
-            errors.append(f"{label}: the weights add up to 0")
+            errors.append(FieldError(f"{path}.shares", owner, "the weights add up to 0"))
         if min((share.weight for share in route.shares), default=0) < 0:
-            errors.append(f"{label}: a weight is negative")
+            errors.append(FieldError(f"{path}.shares", owner, "a weight is negative"))
         if route.timeout <= 0:
-            errors.append(f"{label}: the timeout is not positive")
+            errors.append(FieldError(f"{path}.timeout", owner, "the timeout is not positive"))
         if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
-            errors.append(f"{label}: the prefix does not begin and end with a slash")
+            message = "the prefix does not begin and end with a slash"
+            errors.append(FieldError(f"{path}.prefix", owner, message))
     return errors + _workspace_errors(table.workspaces or ())
 
 
-def _workspace_errors(workspaces: tuple[Workspace, ...]) -> list[str]:
-    errors = []
+def _workspace_errors(workspaces: tuple[Workspace, ...]) -> list[FieldError]:
+    errors: list[FieldError] = []
     name_counts = Counter(workspace.name for workspace in workspaces)
     key_counts = Counter(key for workspace in workspaces for key in set(workspace.key_hashes))
-    for workspace in workspaces:
-        label = f"workspace {workspace.name!r}"
+    for position, workspace in enumerate(workspaces):
+        path, owner = f"workspaces[{position}]", f"workspace {workspace.name!r}"
         if not workspace.name or name_counts[workspace.name] > 1:
-            errors.append(f"{label}: the name is empty or not unique")
+            message = "the name is empty or not unique"
+            errors.append(FieldError(f"{path}.name", owner, message))
         if workspace.name != workspace.name.strip() or not workspace.name.isprintable():
             # The name is sent in a header.
-            errors.append(f"{label}: the name has control characters or spaces at its ends")
+            message = "the name has control characters or spaces at its ends"
+            errors.append(FieldError(f"{path}.name", owner, message))
         if any(key_counts[key] > 1 for key in workspace.key_hashes):
-            errors.append(f"{label}: another workspace has one of its keys")
+            message = "another workspace has one of its keys"
+            errors.append(FieldError(f"{path}.key_hashes", owner, message))
         if min(workspace.per_second, workspace.burst) < 0:
-            errors.append(f"{label}: a limit is negative")
+            field = "per_second" if workspace.per_second < 0 else "burst"
+            errors.append(FieldError(f"{path}.{field}", owner, "a limit is negative"))
     return errors
 
 
