Add a check of configurations before they are sent

Callers got 404, 401 or refusals after changes that operators had not meant: a configuration is accepted also if entries of it can never match or its limits contradict each other, and diffs of text don't show who is affected.

checks.py reports the errors that the system's own validation finds, and warnings about the rest; differences.py compares two configurations in the order of their impact on callers, without keys and hashes.

--- a/verbenashore/cmdline.py
+++ b/verbenashore/cmdline.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from verbenashore import completions, explain, misc, replay
-from verbenashore.exceptions import VerbenaError
+from verbenashore import checks, completions, explain, misc, replay
+from verbenashore.exceptions import UnreadableFileError, VerbenaError
 from verbenashore.remote import Client
 from verbenashore.settings import EXIT_BAD_SETTINGS
 from verbenashore.version import __version__
@@ -31,7 +31,8 @@
         result = options.action(options)
     except VerbenaError as error:
         _print_error(options, error)
-        return EXIT_FAILED
+        is_unreadable = isinstance(error, UnreadableFileError)
+        return checks.EXIT_UNREADABLE if is_unreadable else EXIT_FAILED
     except OSError as error:
         print(f"verbena: {error}", file=sys.stderr)
         return EXIT_FAILED
@@ -41,7 +42,7 @@
         print(json.dumps(result, indent=2))
     else:
         print(options.render(result))
-    return 0
+    return int(options.exit_code)
 
 
 def _print_error(options: argparse.Namespace, error: VerbenaError) -> None:
@@ -144,9 +145,35 @@
     explain_parser.add_argument(
         "logs", type=Path, nargs="+", help="log files of one or more processes"
     )
+    check_parser = _add_command(
+        commands,
+        "check",
+        "check a deployment file, without an entry",
+        _check,
+        str,
+        needs_entry=False,
+    )
+    check_parser.add_argument("file", type=Path, help="TOML deployment file")
+    check_parser.add_argument(
+        "--against", type=Path, metavar="FILE", help="also show the differences from this file"
+    )
     return parser
 
 
+def _check(options: argparse.Namespace) -> Any:
+    other = _read_checked(options.against) if options.against is not None else None
+    report = checks.check_deployment(_read_checked(options.file), other)
+    options.exit_code = checks.exit_code(report)
+    return msgspec.to_builtins(report) if options.json else checks.render(report)
+
+
+def _read_checked(path: Path) -> str:
+    try:
+        return path.read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise UnreadableFileError(f"{path}: {error}", step="read") from None
+
+
 def _explain(options: argparse.Namespace) -> Any:
     events = explain.select_events(explain.read_events(options.logs), options.id)
     return (
@@ -168,7 +195,7 @@
     if needs_entry:
         parser.add_argument("--entry", help=f"IP:PORT of an entry ({ENTRY_VARIABLE})")
         parser.add_argument("--key", help=f"bearer key ({KEY_VARIABLE})")
-    parser.set_defaults(action=action, render=render or _render_json)
+    parser.set_defaults(action=action, render=render or _render_json, exit_code=0)
     return parser
 
 
--- a/verbenashore/exceptions.py
+++ b/verbenashore/exceptions.py
@@ -58,6 +58,13 @@
         self.problems = problems
 
 
+class UnreadableFileError(VerbenaError):
+    """A file that a command was given can't be read, or not compared with another."""
+
+    code = "unreadable_file"
+    http_status = 400
+
+
 class BadRequestError(VerbenaError):
     """The caller's input is malformed."""
 
