State what limits of 0 leave to callers

The warnings about limits of 0 said that no request head is received. A head that arrives in one part is still read by the server, so the messages now tell what the limit leaves. tests/test_checks.py, test_platform.py, test_deployment.py and test_routing.py pass.

--- a/verbenashore/checks.py
+++ b/verbenashore/checks.py
@@ -263,10 +263,10 @@
 
 def _limit_warnings(limits: CallerLimits) -> Iterator[Finding]:
     reasons = {
-        "header_bytes": "no request head fits",
-        "body_bytes": "only requests without a body fit",
-        "header_seconds": "no request head can be received in this time",
-        "idle_seconds": "no request can be received on a connection",
+        "header_bytes": "leaves no room for the head of a request",
+        "body_bytes": "leaves no room for a body",
+        "header_seconds": "leaves no time to send the head of a request",
+        "idle_seconds": "leaves no time to send a request on a connection",
     }
     for name, reason in reasons.items():
         if getattr(limits, name) <= 0:
