--- a/tests/test_quotagate.py
+++ b/tests/test_quotagate.py
@@ -52,6 +52,7 @@
 
 
 LIMITED = (Workspace("w", (), None, 5.0, 1.0),)
+LIMITED_OTHER = (Workspace("v", (), None, 5.0, 1.0),)
 
 
 def test_a_call_over_the_limit_is_refused_with_what_decided_about_it(monkeypatch):
@@ -78,7 +79,7 @@
     }
 
 
-@pytest.mark.parametrize("workspaces", [None, (Workspace("w"),)])
+@pytest.mark.parametrize("workspaces", [None, (Workspace("w"),), (Workspace("w"), *LIMITED_OTHER)])
 def test_without_a_limit_nothing_changes(workspaces):
     errors = asyncio.run(refuse_calls(workspaces, "w" if workspaces else None, entries=0))
     assert {error.message for error in errors} == {"no list is known"}
--- a/verbenashore/quotagate.py
+++ b/verbenashore/quotagate.py
@@ -45,7 +45,7 @@
         :raises OverloadedError: if the limit is reached or can't be known yet.
         """
         name, now = workspace or NO_WORKSPACE, self._clock()
-        if not self.quotas.is_ready(now):
+        if not self.quotas.is_ready(name, now):
             raise OverloadedError(
                 "the number of entries is not known",
                 step="place",
--- a/verbenashore/quotas.py
+++ b/verbenashore/quotas.py
@@ -236,9 +236,10 @@
         """The workspaces of the table in force, and ``NO_WORKSPACE`` if it has any."""
         return iter(self._use_by_name)
 
-    def is_ready(self, now: float) -> bool:
-        """Returns whether it is known how many entries share the limits."""
-        return not self.is_active or self._table.entries(now) > 0
+    def is_ready(self, name: WorkspaceId, now: float) -> bool:
+        """Returns whether a workspace has no limit, or the number of entries is known."""
+        use = self._use_by_name.get(name)
+        return use is None or not use.workspace.per_second or self._table.entries(now) > 0
 
     def own_counts(self, now: float) -> dict[WorkspaceKey, Counts]:
         """Returns the requests to report to other entries, with those of a predecessor."""
