Charge a starting entry with the rate of a workspace, not with its whole limits

The charge is the rate now, which leaves the burst; only workspaces that send clearly more than their rate are charged with everything. The largest number of entries heard of counts. Refusals that only a start or a partition explains name a short wait, and an entry on the smaller side of a partition lets single requests through, within the tolerance.

--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -96,6 +96,25 @@
     check_bounds(fleet)
 
 
+def test_a_restart_of_all_entries_at_usual_load_refuses_hardly_any_request():
+    """Guards against a start that charges every workspace with the whole of its limits."""
+    fleet = fleet_at_usual_load()
+    for entry in fleet.entries:
+        entry.alive = False
+    fleet.run(0.3)
+    for entry in fleet.entries:
+        fleet.start(entry)
+    fleet.list_entries(fleet.entries)
+    fleet.send("large", USUAL, 4.5)
+    fleet.send("small", SMALL_USUAL, 4.5)
+    # The load reports need half a second to connect all entries.
+    fleet.run(0.5)
+    fleet.outcomes.clear()
+    fleet.run(4.0)
+    check_bounds(fleet)
+    assert fleet.outcomes["refused within"] <= 0.02 * fleet.outcomes["admitted"]
+
+
 def test_new_entries_in_a_burst_keep_the_bound():
     fleet = fleet_at_usual_load()
     for entry in fleet.entries[:4]:
--- a/verbenashore/quotas.py
+++ b/verbenashore/quotas.py
@@ -36,6 +36,16 @@
 CLOCK_STEP_SECONDS = 1.0
 #: Seconds without a refusal after which a workspace is no longer logged as limited.
 CALM_SECONDS = 5.0
+#: Requests beyond a limit that all entries together may admit while they can't reach each other.
+#: An entry's part of a small limit is less than one request, so its callers would get nothing.
+UNREACHED_REQUESTS = 15
+#: Demand after a start at which a workspace is taken to have used up its limits before, as a factor
+#: to its rate and as a part of its burst.
+HEAVY_FACTOR = 1.25
+HEAVY_BURST_PART = 0.25
+#: Retry-After in seconds of a request that is refused only because this entry has just started or
+#: doesn't reach the others; both usually end within that time.
+TRANSIENT_RETRY_SECONDS = (0.2, 0.5)
 #: Highest number of workspaces in the metrics.
 MAX_SHOWN = 100
 
@@ -202,7 +212,7 @@
         use.received_count += 1
         if use.workspace.per_second:
             state = self._state(use, now)
-            room = self._room(use, state)
+            room = self._room(use, state, now)
             if room < 1 or room < self._expected(use, state, now) * self._random.random():
                 return self._refuse(use, state, room, now)
         use.admitted.window(now)
@@ -341,22 +351,37 @@
     def _start_charge(self, use: WorkspaceUse, now: float) -> tuple[float, float]:
         """Returns the requests of the last second and window that a predecessor may have admitted.
 
-        What it admitted isn't known, so it counts as its equal part of the limits.
+        What it admitted isn't known.  It counts as its equal part of the rate; for a workspace that
+        now sends more than its rate, as its equal part of the whole limits.
         """
         age = now - self._started_at
         if age >= WINDOW_SECONDS or not use.workspace.per_second:
             return 0.0, 0.0
         entries = max(1, self._table.entries(now))
-        second = use.second_limit * max(0.0, 1.0 - age) / entries
-        return second, use.window_limit * use.used_share(age) / entries
+        young = max(0.0, 1.0 - age)
+        if self._is_heavy(use, now, age):
+            window = use.window_limit * use.used_share(age)
+            return use.second_limit * young / entries, window / entries
+        rate = use.workspace.per_second / entries
+        return rate * young, rate * (WINDOW_SECONDS - age)
+
+    def _is_heavy(self, use: WorkspaceUse, now: float, age: float) -> bool:
+        """Returns whether a workspace sends clearly more than its rate since this entry started."""
+        sent = use.admitted.second(now) + use.refused.second(now) + self._table.counts(use.key)[0]
+        rate, burst = use.workspace.per_second, use.workspace.burst
+        return sent > HEAVY_FACTOR * rate * min(1.0, age) + HEAVY_BURST_PART * burst + 1
 
     @staticmethod
-    def _room(use: WorkspaceUse, state: QuotaState) -> float:
+    def _room(use: WorkspaceUse, state: QuotaState, now: float) -> float:
         """Returns how many requests may still be admitted by what is known."""
-        return min(
+        room = min(
             use.window_limit * state.fraction - state.used,
             use.second_limit * state.fraction - state.used_second,
         )
+        is_partitioned = 0 < 2 * state.reach <= state.entries
+        if is_partitioned and use.rounding * state.entries < UNREACHED_REQUESTS:
+            return max(room, 1.0 - use.admitted.window(now))
+        return room
 
     def _expected(self, use: WorkspaceUse, state: QuotaState, now: float) -> float:
         """Returns how many requests all entries will get before they know of each other's.
@@ -374,6 +399,13 @@
         if use.limited_at is None:
             self._on_limited(use.workspace.name, True)
         use.limited_at = now
+        charges = self._start_charge(use, now)
+        if (
+            use.window_limit - state.used + charges[1] >= 1
+            and use.second_limit - state.used_second + charges[0] >= 1
+            and not self._is_heavy(use, now, now - self._started_at)
+        ):
+            return self._random.uniform(*TRANSIENT_RETRY_SECONDS)
         # Those who were refused in the last second return as well, at all entries.
         demand = max(0.0, 1 - room) + use.refused.second(now) * state.reach
         seconds = demand / max(use.workspace.per_second * state.fraction, 1e-3)
--- a/verbenashore/usage.py
+++ b/verbenashore/usage.py
@@ -200,14 +200,12 @@
         return 1 + self._entries
 
     def entries(self, now: float) -> int:
-        """Returns the number of all entries; without a list, the largest that others told of.
+        """Returns the number of all entries: the largest that is listed or that others told of.
 
-        0 if it is unknown.
+        The list of a starting entry grows while others register.  0 if the number is unknown.
         """
-        known = self.entry_number.known
-        if known:
-            return known
-        return self._told_entries if now - self._told_at <= WINDOW_SECONDS else 0
+        told = self._told_entries if now - self._told_at <= WINDOW_SECONDS else 0
+        return max(self.entry_number.known, told)
 
     def relayed(
         self, member: MemberName, own_counts: dict[WorkspaceKey, Counts], now: float
@@ -362,7 +360,8 @@
         self._table.retain((node.name for node in nodes), now)
         self._table.expire(now)
         own_counts = self._own_counts(now)
-        known_entries = self._table.entries(now)
+        # Numbers that others told of aren't passed on, or a former one would never be forgotten.
+        known_entries = self._table.entry_number.known
         self._number += 1
         datagrams = []
         for node in nodes:
