Send no more calls to a server than its memory holds

A server crashes if the tokens of the calls that it holds exceed its memory, and no member took them into account.

A server's Load now has the tokens of the calls and items in progress, and services their declared memory. A call goes to a server if it would fit although each member placed one like it at that moment; larger ones go with a small chance, so that members seldom do so at once. One that is larger than the memory is refused at once. Items leave two fifths of the memory to online calls. Without a declared memory, or a stated size, nothing changes.

A call that needs more than a tenth of the memory doesn't hold back those queued behind it (poll, _must_queue); _grant and release take the ticket for its tokens. tests/waves.py passes it too.

--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -4,6 +4,7 @@
 
 from tests.test_dispatch import make_dispatcher, make_ticket
 from verbenashore.directory import BackendEntry
+from verbenashore.dispatch import FailureKind
 from verbenashore.estimates import FAR_SECONDS, Costs
 from verbenashore.loadtable import Load, LoadTable, Report
 from verbenashore.speeds import SLOWNESS_PER_LOG, Speeds
@@ -99,3 +100,52 @@
     assert not costs.is_based_on(speeds.version, 0.07, 0.5)
     speeds.refresh(1.0)
     assert not costs.is_based_on(speeds.version, 0.05, 0.5)
+
+
+def test_forty_calls_of_the_best_server_spread_when_it_fails():
+    """Guards against moving all calls of a failed server to the next best one."""
+    dispatcher = dispatcher_with(servers(6, slots=40), {"s0": slow(-1.2), "s1": slow(-0.6)})
+    tickets = [make_ticket(str(n), 0.0, accepts_late=True) for n in range(40)]
+    dispatcher._load_table.add("s0", online=40)
+    for ticket in tickets:
+        dispatcher.release(dispatcher._directory.by_name["s0"], 0.5)
+        dispatcher.record_failure("s0", FailureKind.UNREACHABLE, 0.1)
+        ticket.excluded.add("s0")
+    moved = Counter(dispatcher.request(ticket, 0.1).server.name for ticket in tickets)
+    assert sum(moved.values()) == 40 and "s0" not in moved
+    assert max(moved.values()) <= 24 and len(moved) >= 3
+
+
+def test_reports_count_for_four_seconds_and_then_the_server_is_average_again():
+    table = LoadTable()
+    table.record_report(Report("other", "i", 1, {"s0": slow(1.6, 3)}), 0.0)
+    dispatcher = make_dispatcher(servers(4), table)
+    for tenth in range(40):
+        table.expire(tenth / 10)
+        dispatcher.speeds.refresh(tenth / 10)
+    assert dispatcher.speeds.factor("s0") > 2 and "s0" not in chosen(dispatcher)
+    table.expire(4.1)
+    dispatcher.speeds.refresh(4.1)
+    assert 1.0 < dispatcher.speeds.factor("s0") < 2 and table.total("s0") == Load()
+    for second in range(5, 65):
+        dispatcher.speeds.refresh(float(second))
+    assert dispatcher.speeds.factor("s0") < 1.1
+
+
+def test_calls_leave_a_data_centre_of_which_half_the_servers_become_slow_only_as_needed():
+    entries = servers(16, far=set(range(8, 16)))
+    dispatcher = dispatcher_with(entries, {f"s{n}": slow(1.6) for n in range(4)})
+    first = [dispatcher.request(make_ticket(str(n), 0.0), 0.0).server.name for n in range(8)]
+    assert set(first) <= {"s4", "s5", "s6", "s7"}
+    rest = [dispatcher.request(make_ticket(str(n), 0.0), 0.0).server.name for n in range(40)]
+    far = sum(int(name[1:]) >= 8 for name in rest)
+    slow_ones = sum(int(name[1:]) < 4 for name in rest)
+    assert far >= 10 and slow_ones <= 4
+
+
+def test_a_new_server_gets_no_more_calls_at_once_than_others_with_as_much_room():
+    table = LoadTable()
+    table.record_report(Report("other", "i", 1, {f"s{n}": Load(2) for n in range(5)}), 0.0)
+    dispatcher = make_dispatcher(servers(6), table)
+    counts = chosen(dispatcher, 600)
+    assert counts["s5"] < 300 and len(counts) == 6
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -53,3 +53,16 @@
     path = write_log(tmp_path / "log")
     assert cmdline.main(["explain", "c1", str(path)]) == 0
     assert capsys.readouterr().out == "no event has this id\n"
+
+
+def test_the_terms_of_the_estimate_of_a_placed_call_are_shown(tmp_path, capsys):
+    terms = {"estimate_ms": 61.2, "factor": 1.43, "first_ms": 57.2, "wait_ms": 4.0}
+    log = write_log(
+        tmp_path / "log",
+        event(9.0, "entry", 340, "backend_slowed", server="s1", factor=2.7),
+        event(10.0, "entry", 511, "call_placed", call="c1", server="s1", **terms),
+    )
+    assert cmdline.main(["explain", "c1", str(log)]) == 0
+    output = capsys.readouterr().out
+    assert "backend_slowed" in output and "factor=2.7" in output
+    assert all(f"{name}={value}" in output for name, value in terms.items())
--- a/tests/test_jobrunner.py
+++ b/tests/test_jobrunner.py
@@ -29,7 +29,7 @@
 from verbenashore.metrics import Metrics
 from verbenashore.prober import Prober
 from verbenashore.quarantine import MIN_INCIDENTS, Quarantine
-from verbenashore.routing import Route, RouteIndex, RouteKind, RouteTable, Share
+from verbenashore.routing import Route, RouteIndex, RouteKind, RouteTable, Service, Share
 
 RUN_SECONDS = 5.0
 EVENTS = 100
@@ -679,3 +679,25 @@
     first = EVENT_HEAD + item_events(1, 2) + b"data: overloaded\n\n"
     asked, result = asyncio.run(run_item_on([first, EVENT_HEAD + item_events(3, 4)]))
     assert asked == [0, 2] and result.text == "x1\nx2\nx3\nx4"
+
+
+async def choose_servers_for_items():
+    """Chooses servers of different speeds, and then with little memory."""
+    servers = [BackendEntry(f"b{n}", "s", f"127.0.0.1:{n + 1}", "d", 8, False) for n in range(3)]
+    runner = make_runner(ItemJobTable(), servers[0], None, Metrics("l", ()), None, servers[1:])
+    dispatcher = runner._dispatcher
+    dispatcher.speeds.factor_by_name.update({"b0": 4.0, "b1": 1.0, "b2": 1.0})
+    runner._load_table.add("b1", online=4)
+    runner._load_table.add("b2", online=5, tokens=100)
+    assert runner._choose_server("s", 0.0).name == "b1"
+    dispatcher.memory.install([Service("s", 10, memory_tokens=1000)])
+    runner._load_table.add("b1", tokens=590)
+    assert runner._choose_server("s", 0.0, tokens=11).name == "b2"
+    runner._load_table.add("b0", tokens=600)
+    runner._load_table.add("b2", tokens=490)
+    assert runner._choose_server("s", 0.0, tokens=11) is None
+    assert runner._choose_server("s", 0.0) is not None
+
+
+def test_items_go_where_the_free_room_relative_to_speed_and_the_memory_are():
+    asyncio.run(choose_servers_for_items())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -306,3 +306,10 @@
         head = wire.DIALECT.read_head(status, [(b"Server-Limit", text)])
         assert head.states_rate and head.per_second == per_second
     assert not wire.DIALECT.read_head(200, []).states_rate
+
+
+def test_the_memory_of_a_service_is_read_from_its_engine():
+    document = configuration(1, [route("r", "/r/", "batch")])
+    document["services"][0]["engine"] = {"slots": 8, "kv_capacity_tokens": 72_000}
+    table = wire.read_configuration(json.dumps(document).encode())
+    assert table.services[0].memory_tokens == 72_000
--- a/tests/waves.py
+++ b/tests/waves.py
@@ -131,7 +131,7 @@
         dispatcher.withdraw(ticket)
         server = dispatcher.choose(ticket, now)
         if server is not None:
-            dispatcher._grant(server)
+            dispatcher._grant(server, ticket)
             self._send(now, member, arrived_at, server, ticket.excluded)
         elif now - arrived_at > TIMEOUT:
             self.outcomes["late"] += 1
--- a/verbenashore/callqueue.py
+++ b/verbenashore/callqueue.py
@@ -60,7 +60,7 @@
             if future is not None and not future.done():
                 future.set_result(decision)
             elif decision.verdict is Verdict.GRANTED and decision.server is not None:
-                self._dispatcher.release(decision.server, 0.0)
+                self._dispatcher.release(decision.server, 0.0, ticket)
 
     def _release_abandoned(self, ticket: Ticket, future: "asyncio.Future[Decision]") -> None:
         """Withdraws the ticket of a caller who left, and releases its slot if it got one."""
@@ -68,5 +68,5 @@
         if future.done() and not future.cancelled():
             server = future.result().server
             if server is not None:
-                self._dispatcher.release(server, 0.0)
+                self._dispatcher.release(server, 0.0, ticket)
                 self._wake.set()
--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -16,6 +16,7 @@
 from verbenashore.loadtable import Load, LoadTable
 from verbenashore.prefixes import NO_SIZE, PromptSize, SentPrefixes
 from verbenashore.ratelimits import RateLimits
+from verbenashore.servermemory import ServerMemory
 from verbenashore.speeds import Speeds
 from verbenashore.types import BackendName, ServiceName, WorkspaceId
 
@@ -174,6 +175,7 @@
         self.limits = limits or RateLimits(load_table)
         self.speeds = Speeds(directory, load_table)
         self.prefixes = SentPrefixes()
+        self.memory = ServerMemory(seed)
         self._directory = directory
         self._load_table = load_table
         self._data_centre = data_centre
@@ -197,7 +199,7 @@
         """Grants a slot at once, queues the ticket, or refuses it."""
         server = None if self._must_queue(ticket) else self.choose(ticket, now)
         if server is not None:
-            return self._grant(server)
+            return self._grant(server, ticket)
         if not self._has_candidate(ticket):
             return Decision(Verdict.REFUSED, None, MAX_RETRY_SECONDS, "no server")
         wait = self.expected_wait(ticket.service)
@@ -220,11 +222,11 @@
         ):
             server = None if ticket.service in full_services else self.choose(ticket, now)
             if server is not None:
-                decided.append((ticket, self._grant(server)))
+                decided.append((ticket, self._grant(server, ticket)))
             elif now > ticket.hard_deadline or not self._has_candidate(ticket):
                 refused = Decision(Verdict.REFUSED, None, MIN_RETRY_SECONDS, "waited")
                 decided.append((ticket, refused))
-            elif not ticket.excluded:
+            elif self._takes_any_slot(ticket):
                 full_services.add(ticket.service)
         for ticket, _ in decided:
             self._waiting.remove(ticket)
@@ -235,9 +237,15 @@
         if ticket in self._waiting:
             self._waiting.remove(ticket)
 
-    def release(self, server: BackendEntry, held_seconds: float) -> None:
-        """Frees the slot of a call, and updates the mean time that the service's calls hold one."""
-        self._load_table.add(server.name, online=-1)
+    def release(
+        self, server: BackendEntry, held_seconds: float, ticket: Ticket | None = None
+    ) -> None:
+        """Frees the slot of a call, and updates the mean time that the service's calls hold one.
+
+        :param ticket: that of the call; None if it has no known size.
+        """
+        tokens = ticket.size.tokens if ticket is not None else 0
+        self._load_table.add(server.name, online=-1, tokens=-tokens)
         mean = self._hold_by_service.get(server.service, held_seconds)
         self._hold_by_service[server.service] = mean + HOLD_WEIGHT * (held_seconds - mean)
 
@@ -329,6 +337,7 @@
         self.limits.forget(names)
         self.speeds.forget(names)
         self.prefixes.forget(names)
+        self.memory.forget(names)
         self._load_table.forget_backends(names)
         for name in names:
             self._health_by_name.pop(name, None)
@@ -356,7 +365,9 @@
         best = float("inf")
         excluded, has_health = ticket.excluded, bool(self._health_by_name)
         is_limited = self.limits.any_limited
-        share = self._waiting_share(ticket.service) if is_limited else 1.0
+        tokens = ticket.size.tokens
+        is_bound = self.memory.is_bound(ticket.service, tokens)
+        share = self._waiting_share(ticket.service) if is_limited or is_bound else 1.0
         total = self._load_table.total
         costs = self._costs(ticket.service)
         for server in self.candidates(ticket.service):
@@ -368,6 +379,8 @@
                 continue
             if is_limited and not self.limits.may_send(name, share):
                 continue
+            if is_bound and not self.memory.may_hold(server, load, tokens, share, now):
+                continue
             seconds = costs.seconds(server, load)
             usable.append((seconds, server, load))
             if seconds < best:
@@ -386,6 +399,7 @@
             ]
         _, server, load = min(chosen, key=lambda option: option[0])
         ticket.estimate = costs.estimate(server, load, cached.get(server.name, 0))
+        self.memory.record_placed(server, tokens, now)
         return server
 
     def _costs(self, service: ServiceName) -> Costs:
@@ -397,6 +411,10 @@
             self._costs_by_service[service] = costs
         return costs
 
+    def fits(self, ticket: Ticket) -> bool:
+        """Returns whether the memory of an empty server is enough for a call."""
+        return self.memory.fits(ticket.service, ticket.size.tokens)
+
     def has_usable(self, service: ServiceName, excluded: set[BackendName], now: float) -> bool:
         """Returns whether a service has a server beside the excluded ones that may get calls now.
 
@@ -461,8 +479,11 @@
         return lost
 
     def _has_candidate(self, ticket: Ticket) -> bool:
-        """Returns whether any server that accepts work, suspected or not, isn't excluded."""
-        return any(
+        """Returns whether any server that accepts work, suspected or not, isn't excluded.
+
+        Every server of a service has the same memory, so a call that doesn't fit has none.
+        """
+        return self.fits(ticket) and any(
             server.name not in ticket.excluded
             for server in self._directory.accepting_servers(ticket.service)
         )
@@ -470,16 +491,25 @@
     def _must_queue(self, ticket: Ticket) -> bool:
         """Returns whether a queued ticket of the same service goes before this one.
 
-        Tickets with excluded servers don't count, since they can't use every free slot.
+        Tickets that can't use every free slot don't count.
         """
         return any(
             other.service == ticket.service and other.rank <= ticket.rank
             for other in self._waiting
-            if not other.excluded
+            if self._takes_any_slot(other)
         )
 
-    def _grant(self, server: BackendEntry) -> Decision:
-        self._load_table.add(server.name, online=1)
+    def _takes_any_slot(self, ticket: Ticket) -> bool:
+        """Returns whether a ticket can use every free slot, unlike one with excluded servers.
+
+        One that needs a large part of a server's memory can't either.
+        """
+        if ticket.excluded:
+            return False
+        return not self.memory.is_large(ticket.service, ticket.size.tokens)
+
+    def _grant(self, server: BackendEntry, ticket: Ticket) -> Decision:
+        self._load_table.add(server.name, online=1, tokens=ticket.size.tokens)
         self.limits.record_request(server.name)
         return Decision(Verdict.GRANTED, server)
 
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -548,15 +548,21 @@
                         error.message, step=error.step, peer=server.name
                     ) from error
             finally:
-                self._dispatcher.release(server, self._clock() - placed_at)
+                self._dispatcher.release(server, self._clock() - placed_at, relay.ticket)
                 self._load_reporter.mark_changed()
                 self._call_queue.wake()
 
     def _refuse_late(self, relay: Relay) -> None:
-        """Refuses a call that might be cut at the end of this process and must not run again.
+        """Refuses a call that no server has memory for, or that must not be cut by this process.
 
-        :raises OverloadedError: another entry can take the call.
+        :raises OverloadedError: another entry can take a call that must not run again.
         """
+        if not self._dispatcher.fits(relay.ticket):
+            raise OverloadedError(
+                f"no server has memory for {relay.ticket.size.tokens} tokens",
+                step="place",
+                retry_after=dispatch.MAX_RETRY_SECONDS,
+            )
         if not relay.route.repeatable and relay.deadline > self._ends_at:
             raise OverloadedError(
                 "this process stops", step="place", retry_after=dispatch.MIN_RETRY_SECONDS
@@ -670,6 +676,7 @@
             server=decision.server.name,
             online=total.online,
             batch=total.batch,
+            tokens=total.tokens,
             list_age=round(self._list_updater.age, 3),
             version=self.routes.table.version,
             age=round(self._clock() - relay.arrived_at, 4),
@@ -843,9 +850,9 @@
 
     def _on_members_change(self) -> None:
         members = self._view.members.values()
-        self._load_reporter.set_members(
-            member for member in members if member.role is MemberRole.ENTRY
-        )
+        entries = [member for member in members if member.role is MemberRole.ENTRY]
+        self._load_reporter.set_members(entries)
+        self._dispatcher.memory.members = max(1, len(entries))
 
     def _on_report(self, report: Report | None) -> None:
         if report is not None:
@@ -868,6 +875,7 @@
         if table.version > self.routes.table.version:
             self.routes = RouteIndex(table)
             self.server_limits.limits = table.limits
+            self._dispatcher.memory.install(table.services)
         self._wake_route_waiters()
         self._update_readiness()
 
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -65,6 +65,8 @@
 MAX_SCHEDULING_INTERVAL_SECONDS = 0.02
 #: HTTP status of an item that no attempt can complete.
 IMPOSSIBLE_STATUS = 422
+#: Items that are passed over in one scheduling pass because no server has memory for them now.
+MAX_PASSED_OVER = 8
 #: Kind of observations of the speed of servers that items give.
 ITEMS_LABEL = "items"
 NO_SERVERS: set[BackendName] = set()
@@ -81,6 +83,7 @@
     :param paused_seconds: the time between its runs that is attributed to online calls.
     :param stopped_at: when its last run stopped.
     :param prompt: the parts of the item's prompt.
+    :param tokens: for which a server that runs the item needs memory.
     :param failed_at: servers at which an attempt failed; they are excluded until an attempt has
         failed at all servers of the service.
     :param chain: identifies these runs in what is committed of them.
@@ -94,6 +97,7 @@
     paused_seconds: float = 0.0
     stopped_at: float | None = None
     prompt: Prompt = ()
+    tokens: int = 0
     failed_at: set[BackendName] = msgspec.field(default_factory=set)
     chain: ChainId = msgspec.field(default_factory=lambda: ChainId(misc.random_id("chain")))
 
@@ -138,6 +142,7 @@
     """One attempt at an item on one server.
 
     :param item_id: the id that the job gave the item.
+    :param tokens: for which the server needs memory.
     :param counted: true while the load table counts it.
     :param begun: true once the server has sent an event.
     """
@@ -145,6 +150,7 @@
     key: ItemKey
     item_id: str
     server: BackendEntry
+    tokens: int = 0
     counted: bool = True
     begun: bool = False
     task: asyncio.Task[Any] | None = None
@@ -299,7 +305,7 @@
     def _remove_from_load_table(self, run: Run) -> None:
         if run.counted:
             run.counted = False
-            self._load_table.add(run.server.name, batch=-1)
+            self._load_table.add(run.server.name, batch=-1, tokens=-run.tokens)
             self._on_load_change()
 
     def _start_waiting(self) -> None:
@@ -324,6 +330,7 @@
     def _start_items(self, service: ServiceName, keys: list[ItemKey], now: float) -> None:
         """Starts items of a service, in the given order, until no server has a free slot."""
         jobs = self._job_table().job_by_id
+        passed_over = 0
         for key in keys:
             if not self._is_waiting(key, now):
                 continue
@@ -331,11 +338,14 @@
             progress = self._progress_of(key, job.items[key[1]])
             if self._quarantine.held_part(progress.prompt) is not None:
                 continue
-            server = self._choose_server(service, now, progress.failed_at)
+            server = self._choose_server(service, now, progress.failed_at, progress.tokens)
             if server is not None:
                 self._start_run(job, key, server, progress)
             elif not progress.failed_at:
-                return
+                # Another item may need less memory.
+                passed_over += 1
+                if passed_over > MAX_PASSED_OVER or self._choose_server(service, now) is None:
+                    return
 
     def _is_waiting(self, key: ItemKey, now: float) -> bool:
         """Returns whether an item is to run and does not run now."""
@@ -352,8 +362,13 @@
         """Returns the progress of an item, which starts from what other chains have committed."""
         progress = self._progress_by_key.get(key)
         if progress is None or progress.is_superseded(item):
-            prompt = self._dialect.read_prompt(_headers(item))
-            progress = Progress(item.events, last_event=item.last_event, prompt=prompt)
+            headers = _headers(item)
+            progress = Progress(
+                item.events,
+                last_event=item.last_event,
+                prompt=self._dialect.read_prompt(headers),
+                tokens=self._dialect.read_size(headers).tokens or item.spec.tokens,
+            )
             self._progress_by_key[key] = progress
         return progress
 
@@ -366,13 +381,18 @@
         return table.usual.remaining_seconds(table.job_by_id[job_id].items[index].events)
 
     def _choose_server(
-        self, service: ServiceName, now: float, excluded: set[BackendName] = NO_SERVERS
+        self,
+        service: ServiceName,
+        now: float,
+        excluded: set[BackendName] = NO_SERVERS,
+        tokens: int = 0,
     ) -> BackendEntry | None:
         """Returns the server with the most free slots beyond the reserved ones, or None.
 
         A free slot of a slow server counts for less.
 
         :param excluded: servers to pass over; emptied if it holds all servers of the service.
+        :param tokens: for which the item needs memory.
         """
         best = None
         most_room = 0.0
@@ -391,6 +411,7 @@
             room = free / speeds.factor(server.name)
             if (
                 room > most_room
+                and self._dispatcher.memory.may_hold_item(service, total, tokens)
                 and self._dispatcher.may_use(server.name, now)
                 and self._dispatcher.may_use_in_background(server)
             ):
@@ -400,11 +421,11 @@
     def _start_run(
         self, job: ItemJob, key: ItemKey, server: BackendEntry, progress: Progress
     ) -> None:
-        run = Run(key, job.items[key[1]].spec.id, server)
+        run = Run(key, job.items[key[1]].spec.id, server, progress.tokens)
         self._run_by_key[key] = run
         progress.record_start(self._clock())
         self._quarantine.record_start(progress.prompt)
-        self._load_table.add(server.name, batch=1)
+        self._load_table.add(server.name, batch=1, tokens=run.tokens)
         self._dispatcher.limits.record_request(server.name)
         self._on_load_change()
         logs.info(
--- a/verbenashore/ledgerrelay.py
+++ b/verbenashore/ledgerrelay.py
@@ -59,7 +59,7 @@
         self._directory = Directory()
         # Members compare versions to see changes, so those of different leaders must differ.
         self._directory.version = misc.quick_hash(process.incarnation) >> 16
-        dispatcher = Dispatcher(
+        dispatcher = self._dispatcher = Dispatcher(
             self._directory,
             self._load_table,
             settings.data_centre,
@@ -218,6 +218,7 @@
         current = control.current_change(self._replica_runner.state.control)
         if current.revision != self._routes.table.version:
             self._routes = RouteIndex(routing.decode(current.text))
+            self._dispatcher.memory.install(self._routes.table.services)
         self._state_changed.set()
         self._state_changed = asyncio.Event()
         self._job_runner.wake()
--- a/verbenashore/loadtable.py
+++ b/verbenashore/loadtable.py
@@ -16,6 +16,8 @@
 #: All members together observe up to 30 units for each slot of a server.
 MAX_OBSERVED = 4096
 MAX_SLOWNESS = 20
+#: Largest ``tokens`` that one report may state for a server; more than any server's memory holds.
+MAX_TOKENS = 1 << 30
 #: Seconds without a report after which the calls that a member passed on no longer count.  Short,
 #: because their own members report them by another way as soon as that one is silent.
 RELAYED_SECONDS = 0.5
@@ -31,6 +33,7 @@
     :param observed: time for which the calls have lately waited for data of the server, in units of
         :mod:`verbenashore.speeds`.
     :param slowness: how much longer that was than usual, as a sum over that time.
+    :param tokens: for which the calls and items need memory, as far as they state it.
     """
 
     online: int = 0
@@ -38,6 +41,7 @@
     started: int = 0
     observed: int = 0
     slowness: int = 0
+    tokens: int = 0
 
 
 class Statement(msgspec.Struct, frozen=True, array_like=True):
@@ -126,9 +130,10 @@
         started: int = 0,
         observed: int = 0,
         slowness: int = 0,
+        tokens: int = 0,
     ) -> None:
         """Changes the numbers of this member's own calls; negative numbers remove calls."""
-        change = Load(online, batch, started, observed, slowness)
+        change = Load(online, batch, started, observed, slowness, tokens)
         _add(self.local_by_backend, backend, change)
         self._total_by_backend.pop(backend, None)
 
@@ -248,17 +253,25 @@
         one.started + other.started,
         one.observed + other.observed,
         one.slowness + other.slowness,
+        one.tokens + other.tokens,
     )
 
 
 def _negative(load: Load) -> Load:
-    return Load(-load.online, -load.batch, -load.started, -load.observed, -load.slowness)
+    return Load(
+        -load.online,
+        -load.batch,
+        -load.started,
+        -load.observed,
+        -load.slowness,
+        -load.tokens,
+    )
 
 
 def _bounded(report: Report) -> Report:
-    """Returns a report without observations out of bounds, which would distort all sums.
+    """Returns a report without observations and tokens out of bounds, which would distort all sums.
 
-    Such a server counts as not observed by the sender.
+    Such a server counts as not observed by the sender, and its calls there as small.
     """
     if all(
         _is_valid(load)
@@ -276,14 +289,20 @@
 def _without_invalid(by_backend: dict[BackendName, Load]) -> dict[BackendName, Load]:
     return {
         backend: (
-            load if _is_valid(load) else msgspec.structs.replace(load, observed=0, slowness=0)
+            load
+            if _is_valid(load)
+            else msgspec.structs.replace(load, observed=0, slowness=0, tokens=0)
         )
         for backend, load in by_backend.items()
     }
 
 
 def _is_valid(load: Load) -> bool:
-    return 0 <= load.observed <= MAX_OBSERVED and abs(load.slowness) <= MAX_SLOWNESS * load.observed
+    return (
+        0 <= load.observed <= MAX_OBSERVED
+        and abs(load.slowness) <= MAX_SLOWNESS * load.observed
+        and 0 <= load.tokens <= MAX_TOKENS
+    )
 
 
 def _add(by_backend: dict[BackendName, Load], backend: BackendName, load: Load) -> None:
--- a/verbenashore/routing.py
+++ b/verbenashore/routing.py
@@ -80,12 +80,15 @@
     :param health_path: path of the status check; "" if there is none.
     :param slots: declared number of concurrent calls of a backend server; 0 if undeclared.
         Scheduling uses the numbers in the list of backend servers instead.
+    :param memory_tokens: tokens of running calls that a backend server has memory for; 0 if
+        undeclared.
     """
 
     name: ServiceName
     max_connections: int
     health_path: str = ""
     slots: int = 0
+    memory_tokens: int = 0
 
 
 class Workspace(msgspec.Struct, frozen=True):
