--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -367,6 +367,8 @@
         is_limited = self.limits.any_limited
         tokens = ticket.size.tokens
         is_bound = self.memory.is_bound(ticket.service, tokens)
+        most_tokens = self.memory.most_tokens(ticket.service, tokens) if is_bound else 0.0
+        placed_lately = self.memory.placed_by_server
         share = self._waiting_share(ticket.service) if is_limited or is_bound else 1.0
         total = self._load_table.total
         costs = self._costs(ticket.service)
@@ -379,7 +381,11 @@
                 continue
             if is_limited and not self.limits.may_send(name, share):
                 continue
-            if is_bound and not self.memory.may_hold(server, load, tokens, share, now):
+            if (
+                is_bound
+                and (load.tokens > most_tokens or name in placed_lately)
+                and not self.memory.may_hold(server, load, tokens, share, now)
+            ):
                 continue
             seconds = costs.seconds(server, load)
             usable.append((seconds, server, load))
--- a/verbenashore/servermemory.py
+++ b/verbenashore/servermemory.py
@@ -39,18 +39,19 @@
     """The memory of the servers of each service.
 
     :param members: the members that place calls.
+    :param placed_by_server: when this member has lately sent calls there, and their tokens.
     """
 
     def __init__(self, seed: int = 0) -> None:
         self.members = 1
         self._tokens_by_service: dict[ServiceName, int] = {}
-        self._placed_by_server: dict[BackendName, deque[tuple[float, int]]] = {}
+        self.placed_by_server: dict[BackendName, deque[tuple[float, int]]] = {}
         self._random = random.Random(seed)
 
     def forget(self, servers: Iterable[BackendName]) -> None:
         """Drops servers that are no longer listed."""
         for server in servers:
-            self._placed_by_server.pop(server, None)
+            self.placed_by_server.pop(server, None)
 
     def install(self, services: Iterable[Service]) -> None:
         """Replaces the declared memory of all services."""
@@ -72,6 +73,13 @@
         declared = self._tokens_by_service.get(service)
         return declared is None or tokens <= declared
 
+    def most_tokens(self, service: ServiceName, tokens: int) -> float:
+        """Returns the tokens in use at a server up to which any member may send it a call at once.
+
+        It doesn't hold for one to which this member has lately sent others.
+        """
+        return self._tokens_by_service[service] * USED_PART - tokens * self.members
+
     def may_hold(
         self, server: BackendEntry, load: Load, tokens: int, share: float, now: float
     ) -> bool:
@@ -95,17 +103,17 @@
     def record_placed(self, server: BackendEntry, tokens: int, now: float) -> None:
         """Records that this member sends a call to a server."""
         if self.is_bound(server.service, tokens):
-            self._placed_by_server.setdefault(server.name, deque()).append((now, tokens))
+            self.placed_by_server.setdefault(server.name, deque()).append((now, tokens))
 
     def _placed_lately(self, server: BackendName, now: float) -> int:
         """Returns the tokens that this member has sent to a server and others may not know of."""
-        placed = self._placed_by_server.get(server)
+        placed = self.placed_by_server.get(server)
         if placed is None:
             return 0
         while placed and placed[0][0] < now - UNKNOWN_SECONDS:
             placed.popleft()
         if not placed:
-            del self._placed_by_server[server]
+            del self.placed_by_server[server]
         return sum(tokens for _, tokens in placed)
 
     def may_hold_item(self, service: ServiceName, load: Load, tokens: int) -> bool:
