--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -419,3 +419,10 @@
     assert boot.read_settings().key_bounds == KeyBounds(False, 5.0)
     path.write_text(base + "[bounds]\nrevoke_fail_closed = true\nrevoke_ms = 1500\n")
     assert boot.read_settings().key_bounds == KeyBounds(True, 1.5)
+
+
+def test_the_memory_of_a_service_is_read_from_its_engine():
+    document = configuration(1, [route("r", "/r/", "batch")])
+    document["services"][0]["engine"] = {"slots": 8, "kv_capacity_tokens": 72_000}
+    table = wire.read_configuration(json.dumps(document).encode())
+    assert table.services[0].memory_tokens == 72_000
