--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -59,7 +59,7 @@
     terms = {"estimate_ms": 61.2, "factor": 1.43, "first_ms": 57.2, "wait_ms": 4.0}
     log = write_log(
         tmp_path / "log",
-        event(9.0, "entry", 340, "backend_slowed", server="s1", factor=2.7),
+        event(9.0, "entry", 342, "backend_slowed", server="s1", factor=2.7),
         event(10.0, "entry", 511, "call_placed", call="c1", server="s1", **terms),
     )
     assert cmdline.main(["explain", "c1", str(log)]) == 0
--- a/tests/test_servermemory.py
+++ b/tests/test_servermemory.py
@@ -110,7 +110,7 @@
             for dispatcher, _ in dispatchers:
                 ticket = sized("x", 1_000, now)
                 if dispatcher.choose(ticket, now) is not None:
-                    dispatcher._grant(servers[0], ticket)
+                    dispatcher._grant(servers[0], ticket, now)
                     ends.append((now + 0.5, dispatcher, ticket))
                     granted += 1
         used = sum(
--- a/verbenashore/exceptions.py
+++ b/verbenashore/exceptions.py
@@ -58,6 +58,13 @@
         self.problems = problems
 
 
+class UnreadableFileError(VerbenaError):
+    """A file that a command was given can't be read, or not compared with another."""
+
+    code = "unreadable_file"
+    http_status = 400
+
+
 class BadRequestError(VerbenaError):
     """The caller's input is malformed."""
 
@@ -91,6 +98,12 @@
     http_status = 401
 
 
+class UnknownKeyError(UnauthorizedError):
+    """The call needs an API key, and carries none that is in force."""
+
+    code = "unknown_key"
+
+
 class NotFoundError(VerbenaError):
     """The requested object does not exist, or not in the caller's workspace."""
 
@@ -127,14 +140,24 @@
     """The work was refused before it ran.
 
     :param retry_after: seconds after which a retry is worthwhile.
+    :param details: what decided about it, as log fields.
     """
 
     code = "overloaded"
     http_status = 429
 
-    def __init__(self, message: str, *, step: str = "", peer: str = "", retry_after: float = 1.0):
+    def __init__(
+        self,
+        message: str,
+        *,
+        step: str = "",
+        peer: str = "",
+        retry_after: float = 1.0,
+        details: dict[str, object] | None = None,
+    ):
         super().__init__(message, step=step, peer=peer, not_run=True)
         self.retry_after = retry_after
+        self.details = details or {}
 
 
 class PromptHeldError(OverloadedError):
