--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -209,7 +209,7 @@
         """Grants a slot at once, queues the ticket, or refuses it."""
         server = None if self._must_queue(ticket, now) else self.choose(ticket, now)
         if server is not None:
-            return self._grant(server, ticket)
+            return self._grant(server, ticket, now)
         if not self._has_candidate(ticket):
             return Decision(Verdict.REFUSED, None, MAX_RETRY_SECONDS, "no server")
         wait = self.expected_wait(ticket.service, ticket, now)
@@ -418,7 +418,6 @@
             ]
         _, server, load = min(chosen, key=lambda option: option[0])
         ticket.estimate = costs.estimate(server, load, cached.get(server.name, 0))
-        self.memory.record_placed(server, tokens, now)
         return server
 
     def _costs(self, service: ServiceName) -> Costs:
@@ -575,8 +574,9 @@
             return False
         return not self.memory.is_large(ticket.service, ticket.size.tokens)
 
-    def _grant(self, server: BackendEntry, ticket: Ticket) -> Decision:
+    def _grant(self, server: BackendEntry, ticket: Ticket, now: float) -> Decision:
         self._load_table.add(server.name, online=1, tokens=ticket.size.tokens)
+        self.memory.record_placed(server, ticket.size.tokens, now)
         self.limits.record_request(server.name)
         return Decision(Verdict.GRANTED, server)
 
