--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -234,7 +234,7 @@
             if server is None:
                 self._free_since_by_service.pop(ticket.service, None)
             if server is not None and not yields:
-                decided.append((ticket, self._grant(server, ticket)))
+                decided.append((ticket, self._grant(server, ticket, now)))
             elif now > ticket.hard_deadline or not self._has_candidate(ticket):
                 refused = Decision(Verdict.REFUSED, None, MIN_RETRY_SECONDS, "waited")
                 decided.append((ticket, refused))
