--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -201,10 +201,12 @@
     """Ledger processes, two entries and the stand-ins, each instance with its own loopback IP.
 
     :param folder: holds the settings files, the logs and the data folders.
+    :param limits: the limits of each instance, as the settings files state them.
     """
 
-    def __init__(self, folder, ledgers=3):
+    def __init__(self, folder, ledgers=3, **limits):
         self.folder = Path(folder)
+        self.limits = limits
         net = self.net = reserve_net()
         self.port = free_port()
         self.engines = [
@@ -289,6 +291,8 @@
             "status_s = 120",
             "[cloud]",
             f'address = "127.4.{self.net}.1:{self.port}"',
+            "[limits]",
+            *(f"{key} = {value}" for key, value in self.limits.items()),
         ]
         settings_path = self.folder / f"{name}.toml"
         settings_path.write_text("\n".join(lines))
