Count bodies in a memory budget, and refuse what is over a limit

Clients that sent bodies over the limit, or many bodies within it, made a process grow without a bound, and other callers lost their answers with it. Four causes: health and metrics pages accepted bodies of 64 MiB; each body was kept in up to four copies whatever others kept; the kernel let the buffer of a connection grow to megabytes; and a refused connection was closed while bytes were unread, which resets it and can destroy the refusal.

A body is counted as it arrives; without room its request waits up to 1 s and gets 503 with Retry-After, not run. Pages accept 16 KiB. A refused connection is read for at most 1 s and 8 MiB more.

--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,12 +1,16 @@
-"""Requests that reach a server at the moment when it stops, and responses that are broken off."""
+"""Requests at the moment when a server stops, broken responses, and requests beyond its limits."""
 
 import asyncio
+import json
 import socket
 
 import pytest
 
 from verbenashore import httpserver
+from verbenashore.budget import Account, Budget
+from verbenashore.httpserver import ServerLimits
 from verbenashore.listener import open_listener
+from verbenashore.routing import CallerLimits
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
 
@@ -101,3 +105,76 @@
 
     received, reset = asyncio.run(run())
     assert reset or (b"chunked" in received and not received.endswith(b"0\r\n\r\n"))
+
+
+async def exchange_with_limits(sent, limits, handle=None, count=1):
+    """Sends bytes before it reads anything; returns what the server sent until it closed."""
+
+    async def echo(request, respond):
+        await respond.send_response(200, "text/plain", request.body)
+
+    listener = open_listener("127.0.0.1:0")
+    stopping = asyncio.Event()
+    serving = asyncio.create_task(
+        httpserver.serve(listener, handle or echo, stopping, server_limits=limits)
+    )
+    pairs = [await asyncio.open_connection(*listener.getsockname()) for _ in range(count)]
+    for _, writer in pairs:
+        writer.write(sent)
+        await writer.drain()
+    received = [await asyncio.wait_for(reader.read(), 10.0) for reader, _ in pairs]
+    for _, writer in pairs:
+        writer.close()
+    stopping.set()
+    await serving
+    return received
+
+
+def test_a_refused_client_that_sends_its_whole_body_first_reads_the_refusal():
+    """Guards against a reset that destroys the answer before the client has read it."""
+    limits = ServerLimits(CallerLimits(body_bytes=1000))
+    head = b"POST / HTTP/1.1\r\nhost: h\r\n"
+    declared = head + b"content-length: 3000000\r\n\r\n" + b"x" * 3_000_000
+    chunked = head + b"transfer-encoding: chunked\r\n\r\n" + b"7d0\r\n" + b"x" * 2000 + b"\r\n"
+    for sent in (declared, chunked * 1000):
+        (answer,) = asyncio.run(exchange_with_limits(sent, limits))
+        assert answer.startswith(b"HTTP/1.1 413") and b"connection: close" in answer.lower()
+
+
+def test_a_request_within_the_limits_is_served_at_the_smallest_instance():
+    body = b"x" * (4 << 20)
+    sent = b"POST / HTTP/1.1\r\nhost: h\r\nconnection: close\r\ncontent-length: %d\r\n\r\n" % len(
+        body
+    )
+    limits = ServerLimits(CallerLimits(body_bytes=len(body)), Budget(memory_mb=128, max_fds=1638))
+    (answer,) = asyncio.run(exchange_with_limits(sent + body, limits))
+    assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(body)
+
+
+def test_a_request_without_room_gets_503_and_does_not_run():
+    async def handle(_request, _respond):
+        raise AssertionError
+
+    budget = Budget(memory_mb=128)
+    budget.hold(Account(budget.add_group(), "a", lambda: None, 0.0, 15.0), 1 << 30)
+    limits = ServerLimits(CallerLimits(), budget)
+    for body in (b"", b"x" * 100_000):
+        sent = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n" % len(body) + body
+        (answer,) = asyncio.run(exchange_with_limits(sent, limits, handle))
+        assert answer.startswith(b"HTTP/1.1 503") and b"retry-after: 1\r\n" in answer.lower()
+        assert json.loads(answer.partition(b"\r\n\r\n")[2])["error"]["not_run"]
+
+
+def test_pipelined_requests_are_answered_in_order_while_little_of_them_is_kept():
+    last = b"POST / HTTP/1.1\r\nhost: h\r\nconnection: close\r\ncontent-length: 4\r\n\r\nlast"
+    one = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\n\r\none"
+    limits = ServerLimits(CallerLimits(), Budget(memory_mb=128))
+    (answer,) = asyncio.run(exchange_with_limits(one * 200 + last, limits))
+    assert answer.count(b"\r\n\r\none") == 200 and answer.endswith(b"\r\n\r\nlast")
+
+
+def test_connections_beyond_the_limit_are_refused_with_503():
+    limits = ServerLimits(CallerLimits(idle_seconds=0.2), Budget(max_fds=0))
+    room = limits.budget.add_group().descriptor_limit
+    answers = asyncio.run(exchange_with_limits(b"", limits, count=room + 3))
+    assert sum(answer.startswith(b"HTTP/1.1 503") for answer in answers) == 3
--- a/verbenashore/entry.py
+++ b/verbenashore/entry.py
@@ -89,7 +89,13 @@
         closing = asyncio.Event()
         stop_serving = asyncio.Event()
         server_task = asyncio.create_task(
-            httpserver.serve(str(self._settings.listen), self.handle, stop_serving, closing)
+            httpserver.serve(
+                str(self._settings.listen),
+                self.handle,
+                stop_serving,
+                closing,
+                httpserver.ServerLimits(budget=self._process.budget),
+            )
         )
         self._process.start_task(server_task)
         self._process.start_task(self._view.run())
--- a/verbenashore/exceptions.py
+++ b/verbenashore/exceptions.py
@@ -144,6 +144,13 @@
     http_status = 503
 
 
+class LimitReachedError(OverloadedError):
+    """The work was refused because clients use all that the process may give them."""
+
+    code = "limit_reached"
+    http_status = 503
+
+
 class UnavailableError(VerbenaError):
     """The system can't accept the work now."""
 
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -218,7 +218,7 @@
         self._process = process
         self._clock = self.clock = process.clock
         self._dialect: Dialect = relay_settings.dialect
-        self.server_limits = ServerLimits(CallerLimits(header_bytes=START_HEADER_BYTES))
+        self.server_limits = ServerLimits(CallerLimits(START_HEADER_BYTES), process.budget)
         self.control = GroupClient(CONTROL_GROUP, process.links, seeds, process.clock)
         self.routes = RouteIndex(RouteTable())
         self._view = SystemView(
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -1,7 +1,13 @@
-"""An HTTP/1.1 server over h11, with limits on connections, sizes and times of callers."""
+"""An HTTP/1.1 server over h11, with limits on connections, sizes and times of callers.
+
+What a connection holds is counted in the budget of the process.  Bytes that wait in the kernel
+count as memory of the process too, so the buffers of the listening socket are small
+(:mod:`verbenashore.listener`).
+"""
 
 import asyncio
 import contextlib
+import io
 import socket
 import struct
 from collections.abc import Awaitable, Callable, Iterator, Mapping
@@ -12,9 +18,11 @@
 import msgspec
 
 from verbenashore import logs, misc
+from verbenashore.budget import Account, Budget, ClientState, Group, Limit
 from verbenashore.exceptions import (
     BadRequestError,
     ClientTimeoutError,
+    LimitReachedError,
     OverloadedError,
     TooLargeError,
     VerbenaError,
@@ -29,22 +37,51 @@
 #: Seconds for which a write waits for the caller to read, once the send buffer is full.
 WRITE_TIMEOUT_SECONDS = 20.0
 READ_BYTES = misc.TURN_BYTES
+#: Bytes that wait in the buffers of a connection which sends faster than it is read: 64 KiB in the
+#: kernel, up to 64 KiB in the stream.
+RECEIVE_BUFFER_BYTES = 128 << 10
+#: Copies of a body that are in memory while its request runs, such as the part that a backend
+#: server hasn't read yet.
+BODY_COPIES = 3
+#: Seconds for which a body waits for memory, reading nothing, before its request is refused, and
+#: between two attempts.
+MEMORY_WAIT_SECONDS = 1.0
+MEMORY_POLL_SECONDS = 0.05
+#: Seconds after which a request may be sent again that was refused at a limit of the process.
+LIMIT_RETRY_SECONDS = 1.0
+#: Seconds and bytes for which a refused connection is still read.  Closing it while bytes are
+#: unread would reset it, and its caller could lose the answer.
+LINGER_SECONDS = 1.0
+LINGER_BYTES = 8 << 20
+LINGER_PAUSE_SECONDS = 0.002
 #: Seconds after a stop in which requests that were on their way are still received.
 LAST_REQUEST_SECONDS = 0.25
-#: An instance may open 4,100 file descriptors; the others are for connections to backend servers.
-MAX_CONNECTIONS = 3000
 NO_HEADERS: Mapping[str, str] = {}
+#: The answer to a connection that there is no room for.
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: %d\r\nConnection: close\r\n"
+    b"Content-Length: 0\r\n\r\n" % LIMIT_RETRY_SECONDS
+)
 
 
 class ServerLimits(msgspec.Struct):
-    """The limits that a server imposes on its callers; they may be replaced while it runs."""
+    """The limits that a server imposes on its callers; they may be replaced while it runs.
+
+    :param budget: of the process; None for one of the server's own.
+    :param is_page: whether the server has a health or metrics page, which must answer also while
+        other clients use all that the process may give them.
+    """
 
     limits: CallerLimits = CallerLimits()
+    budget: Budget | None = None
+    is_page: bool = False
 
 
 #: Limits on operators' requests: a configuration of 20,000 routes has 6 MB, and a ledger process
 #: needs some copies of it.
 OPERATOR_LIMITS = ServerLimits(CallerLimits(body_bytes=8 << 20))
+#: Limits on requests for health and metrics pages, which have no body.
+PAGE_LIMITS = ServerLimits(CallerLimits(header_bytes=16 << 10, body_bytes=16 << 10), is_page=True)
 
 
 class Request(msgspec.Struct):
@@ -69,6 +106,7 @@
 
     :param closing: once set, each response carries ``connection: close``.
     :param started: whether the head of the response was created.
+    :param closes: whether this response carries ``connection: close`` in any case.
     """
 
     def __init__(
@@ -81,6 +119,7 @@
         self._writer = writer
         self._closing = closing
         self.started = False
+        self.closes = False
 
     async def send_response(
         self,
@@ -127,7 +166,7 @@
     def _response_head(self, status: int, headers: Headers) -> h11.Response:
         self.started = True
         fields: list[Any] = list(headers)
-        if self._closing.is_set():
+        if self.closes or self._closing.is_set():
             fields.append(("connection", "close"))
         return h11.Response(status_code=status, headers=fields)
 
@@ -139,10 +178,11 @@
             # All of it is in the kernel: a timer for each event of a stream would cost more than
             # the write.
             return
-        timeout_error = ClientTimeoutError(
-            "the caller did not read the response in time", step="write"
-        )
-        await misc.with_timeout(WRITE_TIMEOUT_SECONDS, self._writer.drain(), timeout_error)
+        await misc.with_timeout(WRITE_TIMEOUT_SECONDS, self._writer.drain(), _unread_error())
+
+
+def _unread_error() -> ClientTimeoutError:
+    return ClientTimeoutError("the caller did not read the response in time", step="write")
 
 
 RequestHandler = Callable[[Request, Responder], Awaitable[Any]]
@@ -192,38 +232,44 @@
     """
     listener = open_listener(address) if isinstance(address, str) else address
     closing = closing or asyncio.Event()
-    state = _ServerState(handle, stopping, closing, server_limits or ServerLimits())
+    server_limits = server_limits or ServerLimits()
+    budget = server_limits.budget or Budget()
+    group = budget.add_group(is_page=server_limits.is_page)
+    state = _ServerState(handle, stopping, closing, server_limits, budget, group)
     connections: set[_CallerConnection] = set()
     tasks: set[asyncio.Task[Any]] = set()
 
     async def serve_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if len(connections) >= MAX_CONNECTIONS:
-            writer.close()
-            return
         task = asyncio.current_task()
         assert task is not None
         connection = _CallerConnection(reader, writer, state, task)
         connections.add(connection)
         tasks.add(task)
         try:
-            await connection.run()
+            if budget.open(connection.account):
+                await connection.run()
+            else:
+                await connection.refuse()
         except (ConnectionError, h11.ProtocolError, ClientTimeoutError, asyncio.CancelledError):
             # The caller disconnected or was too slow, or the connection was closed at a stop;
             # nothing uses the result of this task.
             pass
         finally:
             connections.discard(connection)
-            tasks.discard(task)
             if connection.broke_off_unframed:
                 _reset(writer)
             writer.close()
+            budget.close(connection.account)
+            tasks.discard(task)
 
     async def serve_queued(caller: socket.socket) -> None:
-        await serve_connection(*await asyncio.open_connection(sock=caller))
+        await serve_connection(*await asyncio.open_connection(sock=caller, limit=READ_BYTES))
 
     # Keeps the queue of new connections when the server closes its own descriptor.
     queue = listener.dup()
-    server = await asyncio.start_server(serve_connection, sock=listener, backlog=BACKLOG)
+    server = await asyncio.start_server(
+        serve_connection, sock=listener, backlog=BACKLOG, limit=READ_BYTES
+    )
     try:
         await stopping.wait()
         closing.set()
@@ -264,12 +310,15 @@
     stopping: asyncio.Event
     closing: asyncio.Event
     server_limits: ServerLimits
+    budget: Budget
+    group: Group
 
 
 class _CallerConnection:
     """One connection of a caller.
 
     :param busy: whether a request is being received or handled.
+    :param account: what the connection holds.
     """
 
     def __init__(
@@ -282,12 +331,20 @@
         self._reader = reader
         self._writer = writer
         self._server_state = server_state
+        self._budget = server_state.budget
         self.task = task
         self.busy = False
-        self._connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server_state.server_limits.limits.header_bytes
-        )
+        limits = server_state.server_limits.limits
+        self._connection = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
         self._turn_taker = misc.TurnTaker()
+        peer = writer.get_extra_info("peername")
+        self.account = Account(
+            server_state.group,
+            peer[0] if peer else "",
+            self._evict,
+            self._budget.clock(),
+            limits.idle_seconds,
+        )
 
     @property
     def broke_off_unframed(self) -> bool:
@@ -295,18 +352,29 @@
         is_open = self._connection.our_state in (h11.SEND_BODY, h11.ERROR)
         return is_open and self._connection.their_http_version == b"1.0"
 
+    def _evict(self) -> None:
+        """Closes the connection for another one; what its caller hasn't read is dropped."""
+        if self._writer.transport.get_write_buffer_size():
+            self._writer.transport.abort()
+        self.task.cancel()
+
     async def run(self) -> None:
         """Serves the requests of the connection one by one."""
         while True:
             respond = Responder(self._connection, self._writer, self._server_state.closing)
             try:
                 request = await self._read_request()
+                if request is None:
+                    return
+                self._start_request()
             except VerbenaError as error:
-                await self._respond_if_unanswered(respond, error)
+                await self._refuse_request(respond, error)
                 return
-            if request is None:
-                return
-            await self._serve_request(request, respond)
+            try:
+                await self._serve_request(request, respond)
+            finally:
+                self._budget.end_request(self.account)
+                self._budget.release(self.account)
             self.busy = False
             if self._connection.our_state is not h11.DONE:
                 return
@@ -314,9 +382,42 @@
                 return
             self._connection.start_next_cycle()
 
-    async def _respond_if_unanswered(self, respond: Responder, error: VerbenaError) -> None:
+    async def refuse(self) -> None:
+        """Refuses a connection that there is no room for, before it has sent a request."""
+        self._writer.write(REFUSAL)
+        await self._linger()
+
+    def _start_request(self) -> None:
+        """Counts a request that is to run.
+
+        :raises LimitReachedError: if there is no room for it.
+        """
+        if not self._budget.start_request(self.account):
+            raise _limit_reached("memory or descriptors")
+
+    async def _refuse_request(self, respond: Responder, error: VerbenaError) -> None:
+        """Answers a request that is not handled; the connection is to be closed."""
         if self._connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            respond.closes = True
             await respond_error(respond, error)
+            if not isinstance(error, ClientTimeoutError):
+                await self._linger()
+
+    async def _linger(self) -> None:
+        """Reads what the caller still sends, for a short time, so that it can read the answer."""
+        self._budget.release(self.account)
+        if not self._budget.start_linger():
+            return
+        try:
+            self._writer.write_eof()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LINGER_SECONDS):
+                    remaining = LINGER_BYTES
+                    while remaining > 0 and (data := await self._reader.read(READ_BYTES)):
+                        remaining -= len(data)
+                        await asyncio.sleep(LINGER_PAUSE_SECONDS)
+        finally:
+            self._budget.end_linger()
 
     async def _serve_request(self, request: Request, respond: Responder) -> None:
         """Runs the handler, and cancels it if the caller closes the connection.
@@ -358,8 +459,10 @@
         slow_error = ClientTimeoutError("reading the request timed out", step="read", not_run=True)
         # The idle timeout applies until the first bytes of the request are received.
         if self._connection.trailing_data == (b"", False):
+            self._budget.set_state(self.account, ClientState.IDLE)
             stopping = self._server_state.stopping.is_set()
             limits = self._server_state.server_limits.limits
+            self.account.idle_seconds = limits.idle_seconds
             seconds = LAST_REQUEST_SECONDS if stopping else limits.idle_seconds
             try:
                 data = await misc.with_timeout(seconds, self._reader.read(READ_BYTES), idle_error)
@@ -369,6 +472,7 @@
                 raise
             self._connection.receive_data(data)
         self.busy = True
+        self._budget.set_state(self.account, ClientState.RECEIVING)
         limits = self._server_state.server_limits.limits
         head = await misc.with_timeout(limits.header_seconds, self._next_event(), slow_error)
         if not isinstance(head, h11.Request):
@@ -384,19 +488,49 @@
         if self._connection.they_are_waiting_for_100_continue:
             interim_response = h11.InformationalResponse(status_code=100, headers=[])
             self._writer.write(self._connection.send(interim_response) or b"")
-        body = bytearray()
+        # Its value is the buffer itself, where bytes made of a bytearray would be one more copy.
+        body = io.BytesIO()
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > max_bytes:
+                size = len(event.data)
+                was_long = body.tell() > READ_BYTES
+                if body.tell() + size > max_bytes:
                     raise _too_large(max_bytes)
-                await self._turn_taker.record(len(event.data))
+                await self._hold(size * BODY_COPIES)
+                body.write(event.data)
+                if body.tell() > READ_BYTES and not was_long:
+                    await self._hold(RECEIVE_BUFFER_BYTES)
+                await self._turn_taker.record(size)
             elif isinstance(event, h11.EndOfMessage):
-                return bytes(body)
+                if body.tell() > READ_BYTES:
+                    self._budget.release(self.account, RECEIVE_BUFFER_BYTES)
+                return body.getvalue()
             else:
                 raise ConnectionResetError
 
+    async def _hold(self, size: int) -> None:
+        """Counts bytes of the request that is being received; waits a while if there is no room.
+
+        :raises LimitReachedError: if there is none.
+        """
+        if not self._budget.try_hold(self.account, size):
+            await self._wait_for_memory(size)
+
+    async def _wait_for_memory(self, size: int) -> None:
+        budget = self._budget
+        if budget.start_wait():
+            try:
+                for _ in range(round(MEMORY_WAIT_SECONDS / MEMORY_POLL_SECONDS)):
+                    budget.make_room(self.account)
+                    if budget.try_hold(self.account, size):
+                        return
+                    await asyncio.sleep(MEMORY_POLL_SECONDS)
+            finally:
+                budget.end_wait()
+        budget.report(Limit.MEMORY)
+        raise _limit_reached("memory")
+
     async def _next_event(self) -> Any:
         while True:
             try:
@@ -406,7 +540,16 @@
                 raise error_class(str(error), step="read", field="headers", not_run=True) from None
             if event is not h11.NEED_DATA:
                 return event
-            self._connection.receive_data(await self._reader.read(READ_BYTES))
+            data = await self._reader.read(READ_BYTES)
+            self._connection.receive_data(data)
+
+
+def _limit_reached(what: str) -> LimitReachedError:
+    return LimitReachedError(
+        f"the clients of this process use all of its {what}",
+        step="read",
+        retry_after=LIMIT_RETRY_SECONDS,
+    )
 
 
 def _too_large(max_bytes: int) -> TooLargeError:
--- a/verbenashore/process.py
+++ b/verbenashore/process.py
@@ -10,9 +10,11 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import msgspec
 import zmq.asyncio
 
-from verbenashore import httpserver, logs, metrics, misc
+from verbenashore import budget, httpserver, logs, metrics, misc
+from verbenashore.budget import Budget, Limit
 from verbenashore.client import LinkPool
 from verbenashore.exceptions import NotFoundError, StorageError, VerbenaError
 from verbenashore.httpserver import Request, Responder
@@ -70,8 +72,35 @@
         self.tasks: set[asyncio.Task[Any]] = set()
         self.metrics = metrics.Metrics(settings.name, settings.statsd)
         self.metrics.set_gauge("memory_peak_bytes", peak_memory)
+        self.budget = self._make_budget()
         self._failure: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
 
+    def _make_budget(self) -> Budget:
+        """Returns the budget for clients, with its gauges, and log lines for its limits."""
+
+        def on_limit(limit: Limit, count: int) -> None:
+            self.metrics.count(f"clients_limited.{limit.value}", count)
+            logs.warning(
+                Event.CLIENTS_LIMITED,
+                limit=limit.value,
+                count=count,
+                connections=made.connections,
+                held_bytes=made.held_bytes,
+            )
+
+        memory_mb = getattr(self.settings, "memory_mb", budget.DEFAULT_MEMORY_MB)
+        max_fds = min(
+            getattr(self.settings, "max_fds", budget.DEFAULT_MAX_FDS),
+            resource.getrlimit(resource.RLIMIT_NOFILE)[0],
+        )
+        made = Budget(memory_mb, max_fds, self.clock, on_limit)
+        self.metrics.set_gauge("client_connections", lambda: made.connections)
+        self.metrics.set_gauge("client_descriptors", lambda: made.descriptors)
+        self.metrics.set_gauge("client_descriptor_limit", lambda: made.descriptor_limit)
+        self.metrics.set_gauge("client_memory_bytes", lambda: made.held_bytes)
+        self.metrics.set_gauge("client_memory_limit_bytes", lambda: made.memory_limit)
+        return made
+
     def make_sender(self) -> Sender:
         """Returns the sender to put into each message from this process."""
         settings = self.settings
@@ -144,7 +173,7 @@
     async def handle(request: Request, respond: Responder) -> None:
         await answer_health(process, request, respond)
 
-    await httpserver.serve(address, handle, asyncio.Event())
+    await serve_pages(process, address, handle)
 
 
 async def serve_metrics(process: Process, address: str) -> None:
@@ -157,7 +186,13 @@
             200, "text/plain; version=0.0.4", process.metrics.as_text().encode()
         )
 
-    await httpserver.serve(address, handle, asyncio.Event())
+    await serve_pages(process, address, handle)
+
+
+async def serve_pages(process: Process, address: str, handle: httpserver.RequestHandler) -> None:
+    """Serves health or metrics pages for as long as the process runs."""
+    limits = msgspec.structs.replace(httpserver.PAGE_LIMITS, budget=process.budget)
+    await httpserver.serve(address, handle, asyncio.Event(), server_limits=limits)
 
 
 async def answer_health(process: Process, request: Request, respond: Responder) -> bool:
--- a/verbenashore/settings.py
+++ b/verbenashore/settings.py
@@ -121,6 +121,10 @@
     Setting("data-centre", parse_name, "data centre this process runs in"),
     Setting("region", parse_name, "region this process runs in", "default"),
     Setting("log-format", parse_choice("json", "text"), "format of the log lines", "json"),
+    Setting(
+        "memory-mb", parse_count, "memory of this process in MiB, of which callers get 30%", "1024"
+    ),
+    Setting("max-fds", parse_count, "file descriptors that this process may open", "4100"),
     Setting("statsd", parse_addresses, "statsd daemon as IP:PORT; none if empty", ""),
 )
 
