Bound what is read ahead of a request and buffered for its answer

Clients that sent requests ahead and left the answers unread filled the memory of a process: each request of some 50 bytes was followed by a read of 16 KiB, which the parser kept until its turn, so the buffer grew with every request served. Long answers were copied to the buffer of their connection as a whole.

While a request is in progress, nothing is read if the start of the next one is here already, and at most one read is made otherwise. What waits in the buffers is counted; without room for it the request is the last one of its connection. Answers are written 32 KiB at a time, and a write waits for its reader once 32 KiB are buffered.

--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -1,8 +1,9 @@
 """An HTTP/1.1 server over h11, with limits on connections, sizes and times of callers.
 
-What a connection holds is counted in the budget of the process.  Bytes that wait in the kernel
-count as memory of the process too, so the buffers of the listening socket are small
-(:mod:`verbenashore.listener`).
+What a connection holds is bounded, and counted in the budget of the process: at most one request is
+in progress, at most one read is made ahead of it, and a write waits for its reader once little is
+buffered.  Bytes that wait in the kernel count as memory of the process too, so the buffers of the
+listening socket are small (:mod:`verbenashore.listener`).
 """
 
 import asyncio
@@ -37,9 +38,13 @@
 #: Seconds for which a write waits for the caller to read, once the send buffer is full.
 WRITE_TIMEOUT_SECONDS = 20.0
 READ_BYTES = misc.TURN_BYTES
+#: Bytes that are written at a time, and that may be buffered before a write waits for the caller.
+WRITE_BYTES = 32 << 10
 #: Bytes that wait in the buffers of a connection which sends faster than it is read: 64 KiB in the
 #: kernel, up to 64 KiB in the stream.
 RECEIVE_BUFFER_BYTES = 128 << 10
+#: The same for one that doesn't read its answer.
+SEND_BUFFER_BYTES = 128 << 10
 #: Copies of a body that are in memory while its request runs, such as the part that a backend
 #: server hasn't read yet.
 BODY_COPIES = 3
@@ -114,10 +119,14 @@
         connection: h11.Connection,
         writer: asyncio.StreamWriter,
         closing: asyncio.Event,
+        budget: Budget,
+        account: Account,
     ) -> None:
         self._connection = connection
         self._writer = writer
         self._closing = closing
+        self._budget = budget
+        self._account = account
         self.started = False
         self.closes = False
 
@@ -134,9 +143,21 @@
 
     async def send_with_headers(self, status: int, headers: Headers, body: bytes) -> None:
         """Writes a complete response with the given headers; adds no content type or length."""
-        await self._send_events(
-            self._response_head(status, headers), h11.Data(body), h11.EndOfMessage()
-        )
+        head = self._response_head(status, headers)
+        if len(body) <= WRITE_BYTES:
+            await self._send_events(head, h11.Data(body), h11.EndOfMessage())
+            return
+        # Released with the request.
+        self._budget.hold(self._account, len(body))
+        sending = self._send_in_parts(head, body)
+        await misc.with_timeout(WRITE_TIMEOUT_SECONDS, sending, _unread_error())
+
+    async def _send_in_parts(self, head: h11.Response, body: bytes) -> None:
+        """Writes a long response without a copy of all of it in the buffer of the connection."""
+        await self._send_events(head, h11.Data(body[:WRITE_BYTES]))
+        for start in range(WRITE_BYTES, len(body), WRITE_BYTES):
+            await self._send_events(h11.Data(body[start : start + WRITE_BYTES]))
+        await self._send_events(h11.EndOfMessage())
 
     async def start_stream_with_headers(self, status: int, headers: Headers) -> None:
         """Starts a streamed response with the given headers; adds no content type."""
@@ -178,7 +199,14 @@
             # All of it is in the kernel: a timer for each event of a stream would cost more than
             # the write.
             return
-        await misc.with_timeout(WRITE_TIMEOUT_SECONDS, self._writer.drain(), _unread_error())
+        state = self._account.state
+        self._budget.set_state(self._account, ClientState.SENDING)
+        self._budget.hold(self._account, SEND_BUFFER_BYTES)
+        try:
+            await misc.with_timeout(WRITE_TIMEOUT_SECONDS, self._writer.drain(), _unread_error())
+        finally:
+            self._budget.release(self._account, SEND_BUFFER_BYTES)
+            self._budget.set_state(self._account, state)
 
 
 def _unread_error() -> ClientTimeoutError:
@@ -345,6 +373,8 @@
             self._budget.clock(),
             limits.idle_seconds,
         )
+        self._pipelines_too_much = False
+        writer.transport.set_write_buffer_limits(WRITE_BYTES)
 
     @property
     def broke_off_unframed(self) -> bool:
@@ -361,7 +391,13 @@
     async def run(self) -> None:
         """Serves the requests of the connection one by one."""
         while True:
-            respond = Responder(self._connection, self._writer, self._server_state.closing)
+            respond = Responder(
+                self._connection,
+                self._writer,
+                self._server_state.closing,
+                self._budget,
+                self.account,
+            )
             try:
                 request = await self._read_request()
                 if request is None:
@@ -380,6 +416,9 @@
                 return
             if self._connection.their_state is not h11.DONE:
                 return
+            if self._pipelines_too_much:
+                await self._linger()
+                return
             self._connection.start_next_cycle()
 
     async def refuse(self) -> None:
@@ -422,14 +461,24 @@
     async def _serve_request(self, request: Request, respond: Responder) -> None:
         """Runs the handler, and cancels it if the caller closes the connection.
 
-        A caller that has sent more data, the start of its next request, is no longer watched.
+        A caller that has sent more data, the start of its next request, is no longer watched, and
+        nothing more is read until the answer is sent.
         """
         handling = asyncio.ensure_future(self._handle_request(request, respond))
+        if self._connection.trailing_data[0]:
+            self._count_pipelining(respond)
+            try:
+                await handling
+            finally:
+                await misc.cancel_and_wait(handling)
+            return
         reading = asyncio.ensure_future(self._reader.read(READ_BYTES))
         try:
             await asyncio.wait({handling, reading}, return_when=asyncio.FIRST_COMPLETED)
-            if not handling.done() and reading.result() == b"":
-                raise ConnectionResetError("the caller closed the connection")
+            if not handling.done():
+                if reading.result() == b"":
+                    raise ConnectionResetError("the caller closed the connection")
+                self._count_pipelining(respond)
             await handling
         finally:
             await misc.cancel_and_wait(handling, reading)
@@ -437,6 +486,13 @@
             # The start of the next request, or empty at the end of the connection.
             self._connection.receive_data(reading.result())
 
+    def _count_pipelining(self, respond: Responder) -> None:
+        """Counts what waits in the buffers; without room, this request is the last one served."""
+        if not self._budget.try_hold(self.account, RECEIVE_BUFFER_BYTES):
+            self._budget.hold(self.account, RECEIVE_BUFFER_BYTES)
+            self._budget.report(Limit.PIPELINING_CLOSED)
+            self._pipelines_too_much = respond.closes = True
+
     async def _handle_request(self, request: Request, respond: Responder) -> None:
         """Runs the handler; answers its error, or drops the connection after a started response."""
         try:
