Bound heads, connections and slow readers at every HTTP address

An instance with 1,638 descriptors accepted 2,000 connections; heads of thousands of short fields took 460 KB each; operators' answers of a megabyte were made for any number of slow readers; and a connection that was closed before its answer was read kept its descriptor for as long as its client liked.

Operators' requests are handled four at a time until their answers begin. A closed connection is broken off after 5 s if its answer isn't read.

--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -45,6 +45,10 @@
 RECEIVE_BUFFER_BYTES = 128 << 10
 #: The same for one that doesn't read its answer.
 SEND_BUFFER_BYTES = 128 << 10
+#: Bytes of memory for each field of a head, in its forms: of h11, as a list and as a dictionary.
+FIELD_BYTES = 512
+#: Fields of a head that aren't counted.
+FREE_FIELDS = 32
 #: Copies of a body that are in memory while its request runs, such as the part that a backend
 #: server hasn't read yet.
 BODY_COPIES = 3
@@ -52,6 +56,8 @@
 #: between two attempts.
 MEMORY_WAIT_SECONDS = 1.0
 MEMORY_POLL_SECONDS = 0.05
+#: Seconds for which a request waits until others have been handled.
+TURN_WAIT_SECONDS = 1.0
 #: Seconds after which a request may be sent again that was refused at a limit of the process.
 LIMIT_RETRY_SECONDS = 1.0
 #: Seconds and bytes for which a refused connection is still read.  Closing it while bytes are
@@ -59,6 +65,12 @@
 LINGER_SECONDS = 1.0
 LINGER_BYTES = 8 << 20
 LINGER_PAUSE_SECONDS = 0.002
+#: Seconds in which the rest of an answer must be read after the connection was closed here, in
+#: general and at a stop.
+FLUSH_SECONDS = 5.0
+STOP_FLUSH_SECONDS = 1.0
+#: Connections that are accepted at a time.
+ACCEPT_COUNT = 16
 #: Seconds after a stop in which requests that were on their way are still received.
 LAST_REQUEST_SECONDS = 0.25
 NO_HEADERS: Mapping[str, str] = {}
@@ -75,16 +87,20 @@
     :param budget: of the process; None for one of the server's own.
     :param is_page: whether the server has a health or metrics page, which must answer also while
         other clients use all that the process may give them.
+    :param handler_count: requests that are handled at a time, until their answers begin; 0 for any
+        number.
     """
 
     limits: CallerLimits = CallerLimits()
     budget: Budget | None = None
     is_page: bool = False
+    handler_count: int = 0
 
 
 #: Limits on operators' requests: a configuration of 20,000 routes has 6 MB, and a ledger process
-#: needs some copies of it.
-OPERATOR_LIMITS = ServerLimits(CallerLimits(body_bytes=8 << 20))
+#: needs some copies of it.  An answer is counted only once it has been made, so few are made at a
+#: time.
+OPERATOR_LIMITS = ServerLimits(CallerLimits(body_bytes=8 << 20), handler_count=4)
 #: Limits on requests for health and metrics pages, which have no body.
 PAGE_LIMITS = ServerLimits(CallerLimits(header_bytes=16 << 10, body_bytes=16 << 10), is_page=True)
 
@@ -112,6 +128,7 @@
     :param closing: once set, each response carries ``connection: close``.
     :param started: whether the head of the response was created.
     :param closes: whether this response carries ``connection: close`` in any case.
+    :param on_start: called when the head of the response is created.
     """
 
     def __init__(
@@ -129,6 +146,7 @@
         self._account = account
         self.started = False
         self.closes = False
+        self.on_start: Callable[[], None] = lambda: None
 
     async def send_response(
         self,
@@ -186,6 +204,7 @@
 
     def _response_head(self, status: int, headers: Headers) -> h11.Response:
         self.started = True
+        self.on_start()
         fields: list[Any] = list(headers)
         if self.closes or self._closing.is_set():
             fields.append(("connection", "close"))
@@ -262,8 +281,9 @@
     closing = closing or asyncio.Event()
     server_limits = server_limits or ServerLimits()
     budget = server_limits.budget or Budget()
+    slots = asyncio.Semaphore(server_limits.handler_count) if server_limits.handler_count else None
     group = budget.add_group(is_page=server_limits.is_page)
-    state = _ServerState(handle, stopping, closing, server_limits, budget, group)
+    state = _ServerState(handle, stopping, closing, server_limits, budget, group, slots)
     connections: set[_CallerConnection] = set()
     tasks: set[asyncio.Task[Any]] = set()
 
@@ -287,6 +307,9 @@
             if connection.broke_off_unframed:
                 _reset(writer)
             writer.close()
+            if writer.transport.get_write_buffer_size():
+                seconds = STOP_FLUSH_SECONDS if stopping.is_set() else FLUSH_SECONDS
+                await _flush(writer, seconds)
             budget.close(connection.account)
             tasks.discard(task)
 
@@ -295,9 +318,12 @@
 
     # Keeps the queue of new connections when the server closes its own descriptor.
     queue = listener.dup()
+    # asyncio accepts as many connections at once as the queue may hold, so that they would exceed
+    # the limit on descriptors before the first is counted.
     server = await asyncio.start_server(
-        serve_connection, sock=listener, backlog=BACKLOG, limit=READ_BYTES
+        serve_connection, sock=listener, backlog=ACCEPT_COUNT, limit=READ_BYTES
     )
+    queue.listen(BACKLOG)
     try:
         await stopping.wait()
         closing.set()
@@ -324,6 +350,16 @@
     writer.transport.abort()
 
 
+async def _flush(writer: asyncio.StreamWriter, seconds: float) -> None:
+    """Waits until the caller has read what is buffered, and breaks the connection if it doesn't."""
+    try:
+        with contextlib.suppress(TimeoutError, OSError):
+            async with asyncio.timeout(seconds):
+                await writer.wait_closed()
+    finally:
+        writer.transport.abort()
+
+
 def _accept_all(listener: socket.socket) -> Iterator[socket.socket]:
     """Yields the connections that the kernel has queued for a non-blocking listening socket."""
     with contextlib.suppress(BlockingIOError):
@@ -340,6 +376,7 @@
     server_limits: ServerLimits
     budget: Budget
     group: Group
+    handler_slots: asyncio.Semaphore | None
 
 
 class _CallerConnection:
@@ -402,13 +439,15 @@
                 request = await self._read_request()
                 if request is None:
                     return
-                self._start_request()
+                await self._start_request(respond)
             except VerbenaError as error:
                 await self._refuse_request(respond, error)
                 return
             try:
                 await self._serve_request(request, respond)
             finally:
+                if not respond.started:
+                    respond.on_start()
                 self._budget.end_request(self.account)
                 self._budget.release(self.account)
             self.busy = False
@@ -426,14 +465,31 @@
         self._writer.write(REFUSAL)
         await self._linger()
 
-    def _start_request(self) -> None:
-        """Counts a request that is to run.
+    async def _start_request(self, respond: Responder) -> None:
+        """Counts a request that is to run, after a wait for its turn where few are handled at once.
 
         :raises LimitReachedError: if there is no room for it.
         """
+        slots = self._server_state.handler_slots
+        if slots is not None:
+            await self._wait_for_turn(slots)
+            respond.on_start = slots.release
         if not self._budget.start_request(self.account):
             raise _limit_reached("memory or descriptors")
 
+    async def _wait_for_turn(self, slots: asyncio.Semaphore) -> None:
+        error = _limit_reached("turns")
+        if not self._budget.start_wait():
+            self._budget.report(Limit.WAITING_REQUESTS)
+            raise error
+        try:
+            await misc.with_timeout(TURN_WAIT_SECONDS, slots.acquire(), error)
+        except LimitReachedError:
+            self._budget.report(Limit.WAITING_REQUESTS)
+            raise
+        finally:
+            self._budget.end_wait()
+
     async def _refuse_request(self, respond: Responder, error: VerbenaError) -> None:
         """Answers a request that is not handled; the connection is to be closed."""
         if self._connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -541,6 +597,9 @@
         length = next((value for name, value in head.headers if name == b"content-length"), b"0")
         if int(length) > max_bytes:
             raise _too_large(max_bytes)
+        field_count = len(head.headers)
+        if field_count > FREE_FIELDS:
+            await self._hold(field_count * FIELD_BYTES)
         if self._connection.they_are_waiting_for_100_continue:
             interim_response = h11.InformationalResponse(status_code=100, headers=[])
             self._writer.write(self._connection.send(interim_response) or b"")
@@ -588,6 +647,7 @@
         raise _limit_reached("memory")
 
     async def _next_event(self) -> Any:
+        incomplete_bytes = 0
         while True:
             try:
                 event = self._connection.next_event()
@@ -597,6 +657,9 @@
             if event is not h11.NEED_DATA:
                 return event
             data = await self._reader.read(READ_BYTES)
+            incomplete_bytes += len(data)
+            if incomplete_bytes > READ_BYTES:
+                await self._hold(len(data))
             self._connection.receive_data(data)
 
 
