Keep answers within the memory budget, from the start of their requests

The kernel let the buffers of connections to backend servers grow to megabytes as well. An instance with many descriptors and little memory had no room for as many connections.

A request of an operator counts as the longest answer so far until its own has been made, in place of a limit of four at a time. Connections take at most half of the memory for clients. Connections to backend servers have kernel buffers of 64 KiB.

--- a/tests/test_backendcall.py
+++ b/tests/test_backendcall.py
@@ -178,3 +178,32 @@
     entry = BackendEntry("b", "s", "127.0.0.1:1", "d", 1, False)
     error = BackendError("failed", step=step)
     assert not asyncio.run(backendcall.has_crashed(entry, error))
+
+
+class TwoParts:
+    """A response of two parts, which counts those that were read."""
+
+    def __init__(self):
+        self.read = 0
+
+    async def parts(self):
+        """Yields the parts."""
+        for part in (b"first", b"second"):
+            self.read += 1
+            yield part
+
+
+def test_a_part_of_an_answer_is_not_read_until_there_is_room_for_it(monkeypatch):
+    """Guards against answers that fill the memory while their callers read slowly."""
+    monkeypatch.setattr(backendcall, "ROOM_POLL_SECONDS", 0.0)
+    exchange, asked = TwoParts(), []
+
+    def keep(size):
+        asked.append((size, exchange.read))
+        return len(asked) < 3
+
+    opened = backendcall.OpenCall(exchange, None)
+    assert asyncio.run(opened.read_whole(100, keep)) == b"firstsecond"
+    assert asked == [(5, 1), (0, 1), (0, 1), (6, 2)]
+    with pytest.raises(BackendError):
+        asyncio.run(backendcall.OpenCall(TwoParts(), None).read_whole(10, lambda _size: False))
--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import io
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
@@ -24,6 +25,8 @@
 #: Timeout of the connection that tells a crashed server from one that only broke a connection.  The
 #: port of a crashed one is closed, and refuses within a round trip.
 CRASH_CHECK_SECONDS = 0.05
+#: Seconds between two checks whether there is room for the next part of an answer.
+ROOM_POLL_SECONDS = 0.05
 #: Steps of the errors of a connection that was established and then ended too early.  An answer
 #: without a length ends with its connection, so only its events show that.
 BROKEN_STEPS = frozenset({"answer", "body", "events", "exchange"})
@@ -125,6 +128,27 @@
         exchange: Exchange = self.exchange
         return exchange.parts()
 
+    async def read_whole(self, max_bytes: int, keep: Callable[[int], bool]) -> bytes:
+        """Returns the whole body.
+
+        :param max_bytes: the longest body that is read.
+        :param keep: called with the size of each part; returns whether the next one must wait, and
+            is then asked again with 0.
+        :raises BackendError: if the body is longer or truncated, or a part is late.
+        """
+        body = io.BytesIO()
+        async for part in self.parts():
+            body.write(part)
+            if body.tell() > max_bytes:
+                raise BackendError(
+                    f"the answer is longer than {max_bytes} bytes", step="body", peer=""
+                )
+            must_wait = keep(len(part))
+            while must_wait:
+                await asyncio.sleep(ROOM_POLL_SECONDS)
+                must_wait = keep(0)
+        return body.getvalue()
+
 
 async def check_status(
     dialect: Dialect,
--- a/verbenashore/budget.py
+++ b/verbenashore/budget.py
@@ -45,6 +45,9 @@
 PAGE_MEMORY_SHARE = 1.1
 #: Bytes that a connection takes without a request: 9 KB in the process, the rest in the kernel.
 CONNECTION_BYTES = 12 << 10
+#: Share of the memory for clients that connections may take; an instance may have more descriptors
+#: than memory for them.
+CONNECTION_SHARE = 0.5
 #: Requests that may wait for memory at a time, and refused connections that may still be read.
 #: Each has up to 150 KB in its buffers.
 MAX_WAITING = 32
@@ -83,7 +86,6 @@
     MEMORY = "memory"
     DESCRIPTORS = "descriptors"
     SERVER_DESCRIPTORS = "server_descriptors"
-    WAITING_REQUESTS = "waiting_requests"
     IDLE_CLOSED = "idle_closed"
     STALLED_CLOSED = "stalled_closed"
     PIPELINING_CLOSED = "pipelining_closed"
@@ -156,7 +158,11 @@
     ) -> None:
         self.memory_limit = int((memory_mb << 20) * CLIENT_MEMORY_SHARE)
         self.descriptor_limit = max(
-            MIN_CLIENT_DESCRIPTORS, max_fds - FILE_DESCRIPTORS - INTERNAL_DESCRIPTORS
+            MIN_CLIENT_DESCRIPTORS,
+            min(
+                max_fds - FILE_DESCRIPTORS - INTERNAL_DESCRIPTORS,
+                int(self.memory_limit * CONNECTION_SHARE / CONNECTION_BYTES),
+            ),
         )
         self.clock = clock
         self._on_limit = on_limit
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -740,29 +740,26 @@
                 f"status {head.status} when resuming the stream", step="head", peer=""
             )
         relay.set_step(Step.BODY, self._clock())
-        answer = bytearray()
-        async for part in opened.parts():
-            relay.received_at = self._clock()
-            if opened.head.status == SUCCESS:
-                self._record_begun(relay)
-            answer += part
-            if len(answer) > MAX_ANSWER_BYTES:
-                raise BackendError(
-                    f"the answer is longer than {MAX_ANSWER_BYTES} bytes", step="body", peer=""
-                )
-        body = bytes(answer)
-        if head.status >= 500 and not relay.is_last_attempt:
-            raise BackendError(f"status {head.status}", step="head", peer="")
-        if head.status in NOT_RUN_STATUSES:
-            raise BackendError(
-                f"status {head.status} without a statement that the call was not run",
-                step="head",
-                peer="",
+        budget = self._process.budget
+
+        def keep(size: int) -> bool:
+            if size:
+                relay.received_at = self._clock()
+                if head.status == SUCCESS:
+                    self._record_begun(relay)
+            return budget.keep_part(answer, size)
+
+        with budget.answer() as answer:
+            body = await opened.read_whole(MAX_ANSWER_BYTES, keep)
+            if head.status >= 500 and not relay.is_last_attempt:
+                raise BackendError(f"status {head.status}", step="head", peer="")
+            if head.status in NOT_RUN_STATUSES:
+                reason = f"status {head.status} without a statement that the call was not run"
+                raise BackendError(reason, step="head", peer="")
+            relay.record_bytes_sent(self._clock())
+            await relay.respond.send_with_headers(
+                head.status, [*head.headers, (b"content-length", b"%d" % len(body))], body
             )
-        relay.record_bytes_sent(self._clock())
-        await relay.respond.send_with_headers(
-            head.status, [*head.headers, (b"content-length", b"%d" % len(body))], body
-        )
 
     async def _relay_stream(self, relay: Relay, opened: OpenCall) -> None:
         has_events = is_event_stream(opened.exchange.content_type)
--- a/verbenashore/httpclient.py
+++ b/verbenashore/httpclient.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
@@ -17,6 +18,8 @@
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 READ_BYTES = misc.TURN_BYTES
+#: Receive buffer of a connection in the kernel, which doubles the number for its own overhead.
+RECEIVE_BUFFER_BYTES = 64 << 10
 #: Informational responses before a response; a server sends one or two.
 MAX_INFORMATIONAL_RESPONSES = 16
 #: Longest body in bytes that :func:`request` reads, unless told otherwise: far above a page of
@@ -217,6 +220,10 @@
         reader, writer = await misc.with_timeout(connect_seconds, opening, timeout_error)
     except OSError as error:
         raise BackendError(str(error), step="connect", peer=address, not_run=True) from None
+    # Bytes that wait here for a caller who reads slowly count as memory of the process, and the
+    # kernel would let the buffer grow to megabytes.
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     on_connected()
     opened = Exchange(reader, writer, address, read_timeout, keeps_waiting)
     try:
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -56,8 +56,6 @@
 #: between two attempts.
 MEMORY_WAIT_SECONDS = 1.0
 MEMORY_POLL_SECONDS = 0.05
-#: Seconds for which a request waits until others have been handled.
-TURN_WAIT_SECONDS = 1.0
 #: Seconds after which a request may be sent again that was refused at a limit of the process.
 LIMIT_RETRY_SECONDS = 1.0
 #: Seconds and bytes for which a refused connection is still read.  Closing it while bytes are
@@ -87,20 +85,19 @@
     :param budget: of the process; None for one of the server's own.
     :param is_page: whether the server has a health or metrics page, which must answer also while
         other clients use all that the process may give them.
-    :param handler_count: requests that are handled at a time, until their answers begin; 0 for any
-        number.
+    :param answer_bytes: of a long answer.  Each request counts as many until its answer begins,
+        since it is made as a whole before it can be counted; 0 if answers are not that long.
     """
 
     limits: CallerLimits = CallerLimits()
     budget: Budget | None = None
     is_page: bool = False
-    handler_count: int = 0
+    answer_bytes: int = 0
 
 
 #: Limits on operators' requests: a configuration of 20,000 routes has 6 MB, and a ledger process
-#: needs some copies of it.  An answer is counted only once it has been made, so few are made at a
-#: time.
-OPERATOR_LIMITS = ServerLimits(CallerLimits(body_bytes=8 << 20), handler_count=4)
+#: needs some copies of it.
+OPERATOR_LIMITS = ServerLimits(CallerLimits(body_bytes=8 << 20), answer_bytes=1 << 20)
 #: Limits on requests for health and metrics pages, which have no body.
 PAGE_LIMITS = ServerLimits(CallerLimits(header_bytes=16 << 10, body_bytes=16 << 10), is_page=True)
 
@@ -129,6 +126,7 @@
     :param started: whether the head of the response was created.
     :param closes: whether this response carries ``connection: close`` in any case.
     :param on_start: called when the head of the response is created.
+    :param body_bytes: of a long response.
     """
 
     def __init__(
@@ -147,6 +145,7 @@
         self.started = False
         self.closes = False
         self.on_start: Callable[[], None] = lambda: None
+        self.body_bytes = 0
 
     async def send_response(
         self,
@@ -165,6 +164,7 @@
         if len(body) <= WRITE_BYTES:
             await self._send_events(head, h11.Data(body), h11.EndOfMessage())
             return
+        self.body_bytes = len(body)
         # Released with the request.
         self._budget.hold(self._account, len(body))
         sending = self._send_in_parts(head, body)
@@ -281,9 +281,10 @@
     closing = closing or asyncio.Event()
     server_limits = server_limits or ServerLimits()
     budget = server_limits.budget or Budget()
-    slots = asyncio.Semaphore(server_limits.handler_count) if server_limits.handler_count else None
     group = budget.add_group(is_page=server_limits.is_page)
-    state = _ServerState(handle, stopping, closing, server_limits, budget, group, slots)
+    state = _ServerState(
+        handle, stopping, closing, server_limits, budget, group, server_limits.answer_bytes
+    )
     connections: set[_CallerConnection] = set()
     tasks: set[asyncio.Task[Any]] = set()
 
@@ -368,7 +369,10 @@
 
 
 class _ServerState(msgspec.Struct):
-    """State that all connections of a server share."""
+    """State that all connections of a server share.
+
+    :param answer_bytes: as in the limits, or of the longest body or answer that it has had since.
+    """
 
     handle: RequestHandler
     stopping: asyncio.Event
@@ -376,7 +380,7 @@
     server_limits: ServerLimits
     budget: Budget
     group: Group
-    handler_slots: asyncio.Semaphore | None
+    answer_bytes: int
 
 
 class _CallerConnection:
@@ -439,15 +443,15 @@
                 request = await self._read_request()
                 if request is None:
                     return
-                await self._start_request(respond)
+                await self._start_request(request, respond)
             except VerbenaError as error:
                 await self._refuse_request(respond, error)
                 return
             try:
                 await self._serve_request(request, respond)
             finally:
-                if not respond.started:
-                    respond.on_start()
+                if 0 < self._server_state.answer_bytes < respond.body_bytes:
+                    self._server_state.answer_bytes = respond.body_bytes
                 self._budget.end_request(self.account)
                 self._budget.release(self.account)
             self.busy = False
@@ -465,31 +469,21 @@
         self._writer.write(REFUSAL)
         await self._linger()
 
-    async def _start_request(self, respond: Responder) -> None:
-        """Counts a request that is to run, after a wait for its turn where few are handled at once.
+    async def _start_request(self, request: Request, respond: Responder) -> None:
+        """Counts a request that is to run, and the answer that it may get.
 
         :raises LimitReachedError: if there is no room for it.
         """
-        slots = self._server_state.handler_slots
-        if slots is not None:
-            await self._wait_for_turn(slots)
-            respond.on_start = slots.release
-        if not self._budget.start_request(self.account):
+        state, budget, account = self._server_state, self._budget, self.account
+        if state.answer_bytes:
+            state.answer_bytes = max(state.answer_bytes, len(request.body))
+            # What a body takes is free again when its answer is made.
+            expected = max(0, state.answer_bytes - account.held)
+            await self._hold(expected)
+            respond.on_start = lambda: budget.release(account, expected)
+        if not budget.start_request(account):
             raise _limit_reached("memory or descriptors")
 
-    async def _wait_for_turn(self, slots: asyncio.Semaphore) -> None:
-        error = _limit_reached("turns")
-        if not self._budget.start_wait():
-            self._budget.report(Limit.WAITING_REQUESTS)
-            raise error
-        try:
-            await misc.with_timeout(TURN_WAIT_SECONDS, slots.acquire(), error)
-        except LimitReachedError:
-            self._budget.report(Limit.WAITING_REQUESTS)
-            raise
-        finally:
-            self._budget.end_wait()
-
     async def _refuse_request(self, respond: Responder, error: VerbenaError) -> None:
         """Answers a request that is not handled; the connection is to be closed."""
         if self._connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
