Make operations on a data folder repeatable after a full disk

Errors of a disk without space, or of a used up quota, are now DiskFullError, a StorageError. The length that is known to be synced is kept, and what a failed write left after it is cut off and synced before the next write. Segments and temporary files that could not be completed are removed, and the next segment is started before a write instead of after one.

--- a/verbenashore/exceptions.py
+++ b/verbenashore/exceptions.py
@@ -240,6 +240,12 @@
     code = "storage_failed"
 
 
+class DiskFullError(StorageError):
+    """The disk refused a write for lack of space; the write may be repeated."""
+
+    code = "disk_full"
+
+
 class ReplayMismatchError(VerbenaError):
     """The replay of a recorded trace did not yield the stated outcomes."""
 
--- a/verbenashore/replica.py
+++ b/verbenashore/replica.py
@@ -417,8 +417,8 @@
                 stream.write(msgspec.json.encode(entry) + b"\n")
 
     async def _install_snapshot(self, snapshot: Snapshot) -> None:
-        self._folder.hard_state = self.core.hard
-        await asyncio.to_thread(storage.reset_log, self._folder, snapshot, list(self.core.entries))
+        entries = list(self.core.entries)
+        await asyncio.to_thread(storage.reset_log, self._folder, self.core.hard, snapshot, entries)
         self.state = machine.restore(snapshot.data, self.group)
         self._set_applied(snapshot.base.index)
         logs.info(Event.SNAPSHOT_INSTALLED, group=self.group, index=snapshot.base.index)
--- a/verbenashore/storage.py
+++ b/verbenashore/storage.py
@@ -1,5 +1,10 @@
-"""The data folder of one replica: its id, its log in checksummed segments, and its snapshots."""
+"""The data folder of one replica: its id, its log in checksummed segments, and its snapshots.
 
+An operation that a full disk refused may be called again.
+"""
+
+import contextlib
+import errno
 import os
 import struct
 from pathlib import Path
@@ -7,7 +12,7 @@
 import msgspec
 from crc32c import crc32c
 
-from verbenashore.exceptions import StorageError
+from verbenashore.exceptions import DiskFullError, StorageError
 from verbenashore.misc import random_id
 from verbenashore.replication import HardState, LogEntry, Snapshot
 from verbenashore.types import ReplicaId
@@ -19,6 +24,11 @@
 RECORD_HEADER = struct.Struct("<4sII")
 #: Size above which the next segment is started.
 SEGMENT_BYTES = 8 << 20
+#: Errors of a disk without space, or of a quota that is used up: they may pass without a restart.
+FULL_DISK_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
+#: Bytes of the disk that a snapshot leaves free for the log, which is written meanwhile.  Without
+#: them each attempt at a snapshot that doesn't fit would have the writes of the log refused.
+SNAPSHOT_SPARE_BYTES = 1 << 20
 #: Name of the file in a data folder that holds the addresses of the group's replicas.
 PEERS_FILE = "peers"
 
@@ -56,7 +66,8 @@
 
     :param created: true if this start created the folder.
     :param segment_number: the segment that is open for writing.
-    :param segment_size: its size in bytes.
+    :param segment_size: the size in bytes of what was synced to it.
+    :param is_torn: whether a failed write may have left bytes after these.
     :param last_index_by_segment: the entry index that a snapshot must have reached before each
         segment may be removed.
     """
@@ -67,6 +78,7 @@
     segment_number: int = 0
     descriptor: int = -1
     segment_size: int = 0
+    is_torn: bool = False
     hard_state: HardState = HardState()
     last_index_by_segment: dict[int, int] = msgspec.field(default_factory=dict)
 
@@ -75,7 +87,7 @@
     """Opens or creates a data folder and reads its contents.
 
     :raises StorageError: if data other than a torn last write is damaged, the identity file is
-        missing, the log has a gap, or the disk fails.
+        missing, the log has a gap, or the disk fails; a :class:`DiskFullError` if it is full.
     """
     try:
         _create_folders(path)
@@ -87,18 +99,19 @@
         folder.hard_state = recovered.hard_state
         _start_segment(folder)
     except OSError as error:
-        raise StorageError(str(error), step="open", peer=str(path)) from error
+        raise _storage_error(error, "open", path) from error
     return folder, recovered
 
 
 def write(folder: DataFolder, hard_state: HardState | None, entries: list[LogEntry]) -> None:
     """Appends records and syncs them; they are durable once this returns.
 
-    :raises StorageError: if the write fails; the replica must stop then.
+    :raises DiskFullError: if the disk is full; the same write must succeed before anything that
+        follows from it.
+    :raises StorageError: if the write fails otherwise; the replica must stop then.
     """
     records: list[Record] = [EntryRecord(entry) for entry in entries]
     if hard_state is not None:
-        folder.hard_state = hard_state
         records.insert(0, HardStateRecord(hard_state))
     if not records:
         return
@@ -107,17 +120,21 @@
         for position, record in enumerate(records)
     )
     try:
+        if folder.is_torn:
+            _cut_torn_write(folder)
+        if folder.segment_size > SEGMENT_BYTES:
+            _start_segment(folder)
+        folder.is_torn = True
         _write_all(folder.descriptor, data)
         os.fdatasync(folder.descriptor)
+        folder.is_torn = False
         folder.segment_size += len(data)
+        folder.hard_state = hard_state or folder.hard_state
         if entries:
             highest = folder.last_index_by_segment.get(folder.segment_number, 0)
             folder.last_index_by_segment[folder.segment_number] = max(highest, entries[-1].index)
-        if folder.segment_size > SEGMENT_BYTES:
-            os.close(folder.descriptor)
-            _start_segment(folder)
     except OSError as error:
-        raise StorageError(str(error), step="write", peer=str(folder.path)) from error
+        raise _storage_error(error, "write", folder.path) from error
 
 
 def write_snapshot(folder: DataFolder, snapshot: Snapshot) -> None:
@@ -127,13 +144,16 @@
     """
     try:
         data = _frame(msgspec.msgpack.encode(snapshot))
+        disk = os.statvfs(folder.path)
+        if disk.f_bavail * disk.f_frsize < len(data) + SNAPSHOT_SPARE_BYTES:
+            raise OSError(errno.ENOSPC, f"a snapshot of {len(data)} bytes doesn't fit")
         target = folder.path / f"snapshot-{snapshot.base.index:020d}"
         _write_file(target, data)
         for older in folder.path.glob("snapshot-*"):
             if older.name < target.name:
                 older.unlink()
     except OSError as error:
-        raise StorageError(str(error), step="snapshot", peer=str(folder.path)) from error
+        raise _storage_error(error, "snapshot", folder.path) from error
 
 
 def remove_covered_segments(folder: DataFolder, index: int) -> None:
@@ -155,15 +175,24 @@
             folder.last_index_by_segment.pop(number, None)
         _sync_directory(folder.path)
     except OSError as error:
-        raise StorageError(str(error), step="drop", peer=str(folder.path)) from error
+        raise _storage_error(error, "drop", folder.path) from error
+
 
+def reset_log(
+    folder: DataFolder, hard_state: HardState, snapshot: Snapshot, entries: list[LogEntry]
+) -> None:
+    """Replaces the whole log by a snapshot from the leader and the entries that follow it.
 
-def reset_log(folder: DataFolder, snapshot: Snapshot, entries: list[LogEntry]) -> None:
-    """Replaces the whole log by a snapshot from the leader and the entries that follow it."""
+    :raises StorageError: if the disk fails.
+    """
     write_snapshot(folder, snapshot)
-    os.close(folder.descriptor)
-    _start_segment(folder)
-    write(folder, None, entries)
+    # An earlier attempt may have started a segment that has no entries yet.
+    if folder.segment_number in folder.last_index_by_segment:
+        try:
+            _start_segment(folder)
+        except OSError as error:
+            raise _storage_error(error, "reset", folder.path) from error
+    write(folder, hard_state, entries)
     closed = [number for number in folder.last_index_by_segment if number < folder.segment_number]
     for number in closed:
         folder.last_index_by_segment[number] = 0
@@ -178,7 +207,7 @@
     try:
         _write_file(path / PEERS_FILE, msgspec.json.encode(sorted(addresses)))
     except OSError as error:
-        raise StorageError(str(error), step="peers", peer=str(path)) from error
+        raise _storage_error(error, "peers", path) from error
 
 
 def read_peers(path: Path) -> list[str]:
@@ -192,13 +221,23 @@
     os.close(folder.descriptor)
 
 
+def _storage_error(error: OSError, step: str, path: Path) -> StorageError:
+    kind = DiskFullError if error.errno in FULL_DISK_ERRORS else StorageError
+    return kind(str(error), step=step, peer=str(path))
+
+
 def _create_folders(path: Path) -> None:
     """Creates a folder and its parents, and syncs the parent folder of each."""
     if path.is_dir():
         return
     _create_folders(path.parent)
     path.mkdir(exist_ok=True)
-    _sync_directory(path.parent)
+    try:
+        _sync_directory(path.parent)
+    except OSError:
+        # Otherwise the next attempt would find the folder and not sync its parent.
+        path.rmdir()
+        raise
 
 
 def _load_identity(path: Path) -> DataFolder:
@@ -320,15 +359,30 @@
 
 
 def _start_segment(folder: DataFolder) -> None:
-    folder.segment_number += 1
-    path = folder.path / f"log-{folder.segment_number:010d}"
+    """Starts the next segment and closes the open one; leaves no new file if it fails."""
+    number = folder.segment_number + 1
+    path = folder.path / f"log-{number:010d}"
     flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND
-    folder.descriptor = os.open(path, flags, 0o640)
+    descriptor = os.open(path, flags, 0o640)
     data = _frame(msgspec.msgpack.encode(HardStateRecord(folder.hard_state)))
-    _write_all(folder.descriptor, data)
+    try:
+        _write_all(descriptor, data)
+        os.fsync(descriptor)
+        _sync_directory(folder.path)
+    except OSError:
+        os.close(descriptor)
+        path.unlink()
+        raise
+    if folder.descriptor >= 0:
+        os.close(folder.descriptor)
+    folder.segment_number, folder.descriptor, folder.segment_size = number, descriptor, len(data)
+
+
+def _cut_torn_write(folder: DataFolder) -> None:
+    """Removes what a failed write has left at the end of the open segment."""
+    os.ftruncate(folder.descriptor, folder.segment_size)
     os.fsync(folder.descriptor)
-    folder.segment_size = len(data)
-    _sync_directory(folder.path)
+    folder.is_torn = False
 
 
 def _write_all(descriptor: int, data: bytes) -> None:
@@ -342,11 +396,17 @@
     temporary = path.with_suffix(".new")
     descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o640)
     try:
-        _write_all(descriptor, data)
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
-    temporary.rename(path)
+        try:
+            _write_all(descriptor, data)
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+        temporary.rename(path)
+    except OSError:
+        # Its bytes would be missing on a full disk.
+        with contextlib.suppress(OSError):
+            temporary.unlink()
+        raise
     _sync_directory(path.parent)
 
 
