Keep ledger processes running while their disk is full

What callers saw: a ledger process whose disk refused one write ended with storage_failed, and ended again at each restart as long as the disk was full.

The write that was refused is now repeated every 0.25 s, and until it succeeds nothing that depends on it is sent or applied: to the others the replica has a slow disk. A leader hands over at the first refusal, as before a planned stop; packets that arrive are dropped and commands refused. Other errors of the disk end the process as before. New events disk_full and disk_writable, new gauges group_N.disk_full_seconds and group_N.writes_refused.

tests/test_replica.py: the parameters of new_runner replace a second copy of it; no check has changed.

The test of the leader failed on the earlier code: the replica's task ended with StorageError and the command was never answered.

--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -14,19 +14,13 @@
 UPTIME = 3e6
 
 
-def new_runner(path, clock):
-    """Returns a replica of a group of one."""
-    name_and_address = ("ledger-0", "127.0.0.1:1")
+def new_runner(
+    path, clock, name="ledger-0", send=lambda _peer, _packet: None, voters=1, snapshot_bytes=1 << 20
+):
+    """Returns a replica; by default of a group of one."""
+    address = (name, f"{name}:1")
     return ReplicaRunner(
-        CONTROL_GROUP,
-        name_and_address,
-        path,
-        Timing(),
-        clock,
-        lambda _peer, _packet: None,
-        1,
-        1 << 20,
-        "",
+        CONTROL_GROUP, address, path, Timing(), clock, send, voters, snapshot_bytes, ""
     )
 
 
@@ -78,18 +72,7 @@
                     if other.peer.id == packet.to:
                         other.enqueue(packet)
 
-            name_and_address = (name, f"{name}:1")
-            return ReplicaRunner(
-                CONTROL_GROUP,
-                name_and_address,
-                tmp_path / name,
-                Timing(),
-                clock,
-                send,
-                1,
-                1 << 18,
-                "",
-            )
+            return new_runner(tmp_path / name, clock, name, send, snapshot_bytes=1 << 18)
 
         runners["a"] = runner("a")
         runners["a"].bootstrap((runners["a"].peer,))
--- a/verbenashore/ledger.py
+++ b/verbenashore/ledger.py
@@ -5,7 +5,7 @@
 import contextlib
 import random
 import sys
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -16,6 +16,7 @@
     consensus,
     control,
     files,
+    fulldisk,
     jobs,
     logs,
     machine,
@@ -31,12 +32,14 @@
 from verbenashore.client import GroupClient
 from verbenashore.consensus import Role
 from verbenashore.exceptions import (
+    DiskFullError,
     KeyConflictError,
     NotFoundError,
     NotLeaderError,
     UnavailableError,
     VerbenaError,
 )
+from verbenashore.fulldisk import FullDisk, OpenedFolder, Step
 from verbenashore.jobs import ItemViews
 from verbenashore.ledgerrelay import LedgerRelay, RelaySettings
 from verbenashore.link import Reply, Server
@@ -94,6 +97,7 @@
 )
 
 PROGRAM = "verbena-ledger"
+NO_FOLDERS: Mapping[GroupId, OpenedFolder] = {}
 SESSION_TIMEOUT_SECONDS = 4.0
 SWEEP_INTERVAL_SECONDS = 0.25
 MEMBERSHIP_CHECK_SECONDS = 0.25
@@ -211,10 +215,35 @@
     seen_at: float
 
 
+async def open_folders(running: Process) -> dict[GroupId, OpenedFolder]:
+    """Opens the data folder of each group; waits while a disk is full and the process not stopping.
+
+    :raises StorageError: if a folder can't be opened for another reason.
+    """
+    opened_by_group = {}
+    for group in running.settings.groups:
+        disk = FullDisk(group, running.clock)
+        _set_disk_gauges(running, group, disk)
+        opened = await fulldisk.open_folder(
+            _data_folder(running.settings, group), disk, running.stopping
+        )
+        if opened is not None:
+            opened_by_group[group] = opened
+    return opened_by_group
+
+
 class LedgerProcess:
-    """The replicas of one process, and the calls that it answers with them."""
+    """The replicas of one process, and the calls that it answers with them.
+
+    :param opened_by_group: the data folders that are open already.
+    """
 
-    def __init__(self, running: Process, relay: RelaySettings | None = None) -> None:
+    def __init__(
+        self,
+        running: Process,
+        relay: RelaySettings | None = None,
+        opened_by_group: Mapping[GroupId, OpenedFolder] = NO_FOLDERS,
+    ) -> None:
         self._process = running
         self._settings = running.settings
         self._clock = running.clock
@@ -234,7 +263,7 @@
             group: ReplicaRunner(
                 group,
                 name_and_address,
-                self._settings.data / f"group-{group}",
+                _data_folder(self._settings, group),
                 timing,
                 running.clock,
                 self._sender_for(group),
@@ -242,6 +271,7 @@
                 self._settings.snapshot_bytes,
                 self._settings.trace,
                 self._data_centre_of,
+                opened_by_group.get(group),
             )
             for group in self._settings.groups
         }
@@ -295,6 +325,7 @@
         for group, runner in self._runner_by_group.items():
             for name in runner.sizes():
                 gauges.set_gauge(f"group_{group}.{name}", partial(_size_of, runner, name))
+            _set_disk_gauges(self._process, group, runner.disk)
 
     def add_seeds(self, seeds: list[str]) -> None:
         """Adds addresses of ledger processes that may know the group."""
@@ -589,6 +620,9 @@
                 runner.leader_hint = ""
                 if runner.group == CONTROL_GROUP:
                     self.control.set_addresses(runner.addresses)
+            elif runner.disk.refuses_log:
+                # It hears of no leader meanwhile, and could not store the log of a group either.
+                pass
             elif not (runner.leader_hint and await self._ask_to_join(runner, runner.leader_hint)):
                 await self._join_or_bootstrap(runner)
             if runner.leader_hint:
@@ -663,10 +697,19 @@
         if runner.group == CONTROL_GROUP:
             self.control.set_addresses(answer.ledgers)
             if self._peers != set(answer.ledgers):
-                self._peers = set(answer.ledgers)
-                await asyncio.to_thread(storage.save_peers, runner.path, answer.ledgers)
+                await self._save_peers(runner, answer.ledgers)
         return True
 
+    async def _save_peers(self, runner: ReplicaRunner, addresses: list[str]) -> None:
+        """Saves the addresses of the group; a full disk is tried again at the next answer."""
+        try:
+            await asyncio.to_thread(storage.save_peers, runner.path, addresses)
+        except DiskFullError as error:
+            runner.disk.record_refused(Step.PEERS, error)
+        else:
+            self._peers = set(addresses)
+            runner.disk.record_written(Step.PEERS)
+
     async def _sweep(self, group: GroupId, runner: ReplicaRunner) -> None:
         """Ends expired sessions, records and members while this replica leads."""
         while True:
@@ -695,6 +738,16 @@
                 await asyncio.gather(*(runner.leader_known.wait() for runner in led_runners))
 
 
+def _data_folder(process_settings: argparse.Namespace, group: GroupId) -> Path:
+    path: Path = process_settings.data / f"group-{group}"
+    return path
+
+
+def _set_disk_gauges(running: Process, group: GroupId, disk: FullDisk) -> None:
+    running.metrics.set_gauge(f"group_{group}.disk_full_seconds", disk.seconds)
+    running.metrics.set_gauge(f"group_{group}.writes_refused", lambda: disk.refused_count)
+
+
 def _size_of(runner: ReplicaRunner, name: str) -> float:
     return runner.sizes()[name]
 
@@ -731,7 +784,9 @@
 
 
 async def _program(running: Process) -> None:
-    await LedgerProcess(running).run()
+    opened_by_group = await open_folders(running)
+    if not running.stopping.is_set():
+        await LedgerProcess(running, None, opened_by_group).run()
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- a/verbenashore/replica.py
+++ b/verbenashore/replica.py
@@ -1,8 +1,10 @@
 """Runs one replica of a group: its inbox, data folder and state machine."""
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -10,7 +12,8 @@
 
 from verbenashore import consensus, control, logs, machine, misc, repair, replication, storage
 from verbenashore.consensus import Role
-from verbenashore.exceptions import NotLeaderError, UnavailableError
+from verbenashore.exceptions import DiskFullError, NotLeaderError, UnavailableError
+from verbenashore.fulldisk import FullDisk, OpenedFolder, Step
 from verbenashore.logs import Event
 from verbenashore.machine import Command, Result
 from verbenashore.replication import EntryKind, LogEntry, Packet, Peer, Snapshot
@@ -66,6 +69,7 @@
     :param trace: committed commands are appended to the file ``TRACE.GROUP``, where TRACE is this
         text; to none if it is empty.
     :param data_centre_of: returns the data centre of the process at an address.
+    :param opened: the data folder, if it is open already.
     """
 
     def __init__(
@@ -80,6 +84,7 @@
         snapshot_bytes: int,
         trace: str,
         data_centre_of: repair.DataCentreOf = lambda _address: "",
+        opened: OpenedFolder | None = None,
     ) -> None:
         self.group = group
         self.path = path
@@ -93,7 +98,8 @@
         self._trace = Path(f"{trace}.{group}") if trace else None
         self.leader_known = asyncio.Event()
         self._applied_event = asyncio.Event()
-        self._folder, recovered = storage.open_folder(path)
+        self.disk = FullDisk(group, clock)
+        self._folder, recovered = opened or storage.open_folder(path)
         if recovered.truncated_bytes:
             logs.warning(Event.TAIL_CUT, group=group, bytes=recovered.truncated_bytes)
         #: The index of the last entry that is applied to the state.
@@ -204,11 +210,13 @@
     async def propose(self, command: Command) -> Result:
         """Commits a command and returns its result.
 
-        :raises NotLeaderError: if this replica doesn't lead; nothing was done.
+        :raises NotLeaderError: if this replica doesn't lead or its disk is full; nothing was done.
         :raises UnavailableError: if leadership was lost before the commit; the command may still be
             committed.
         """
         self.check_serving()
+        if self.disk.refuses_log:
+            raise NotLeaderError("the disk is full", step="propose")
         result: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
         self._inbox.put_nowait(Proposal(command, result))
         return await result
@@ -227,7 +235,8 @@
     async def run(self) -> None:
         """Runs the replica until it is cancelled or its disk fails.
 
-        :raises StorageError: if a write fails; the replica must not continue.
+        :raises StorageError: if a write fails otherwise than on a full disk; the replica must not
+            continue.
         """
         try:
             while True:
@@ -363,9 +372,8 @@
             if output.install is not None:
                 await self._install_snapshot(output.install)
             elif output.hard_state is not None or output.entries:
-                await asyncio.to_thread(
-                    storage.write, self._folder, output.hard_state, output.entries
-                )
+                write = partial(storage.write, self._folder, output.hard_state, output.entries)
+                await self.disk.write(Step.LOG, write, self._wait_for_space)
                 self._log_bytes += sum(len(entry.data) for entry in output.entries)
             if output.entries:
                 index = output.entries[-1].index
@@ -377,6 +385,28 @@
                 break
         self._start_snapshot_if_due()
 
+    def _wait_for_space(self, is_first: bool) -> None:
+        """Steps aside and drops what has arrived, since a full disk has refused a write.
+
+        The core has processed what could not be written, so it may take part again only once that
+        is written; the messages that are dropped here count as lost.
+        """
+        if is_first:
+            # The request to take over is the only packet here: it states nothing that the refused
+            # write contains, and this replica no longer serves when it is sent.
+            consensus.hand_over(self.core, self._clock())
+            packets, self.core.output.packets = self.core.output.packets, []
+            for packet in packets:
+                self._send_packet(packet)
+            self._update_leadership()
+        while not self._inbox.empty():
+            item = self._inbox.get_nowait()
+            if isinstance(item, SnapshotWritten):
+                # Removes segments of the log, which may be what fills the disk.
+                self._finish_snapshot(item.snapshot)
+            elif isinstance(item, Proposal):
+                _set_error(item.result, NotLeaderError("the disk is full", step="propose"))
+
     def _send_packet(self, packet: Packet) -> None:
         membership = consensus.membership(self.core)
         peers = (*membership.voters, *membership.learners)
@@ -418,7 +448,8 @@
 
     async def _install_snapshot(self, snapshot: Snapshot) -> None:
         entries = list(self.core.entries)
-        await asyncio.to_thread(storage.reset_log, self._folder, self.core.hard, snapshot, entries)
+        write = partial(storage.reset_log, self._folder, self.core.hard, snapshot, entries)
+        await self.disk.write(Step.INSTALL, write, self._wait_for_space)
         self.state = machine.restore(snapshot.data, self.group)
         self._set_applied(snapshot.base.index)
         logs.info(Event.SNAPSHOT_INSTALLED, group=self.group, index=snapshot.base.index)
@@ -434,7 +465,9 @@
         misc.spawn(self._write_snapshot(snapshot), self._tasks)
 
     async def _write_snapshot(self, snapshot: Snapshot) -> None:
-        await asyncio.to_thread(storage.write_snapshot, self._folder, snapshot)
+        await self.disk.write(
+            Step.SNAPSHOT, partial(storage.write_snapshot, self._folder, snapshot)
+        )
         self._inbox.put_nowait(SnapshotWritten(snapshot))
 
     def _finish_snapshot(self, snapshot: Snapshot) -> None:
@@ -442,7 +475,9 @@
         if snapshot.base.index <= self.core.snapshot.base.index:
             return
         consensus.compact(self.core, snapshot.base.index, snapshot.data, self._clock())
-        storage.remove_covered_segments(self._folder, snapshot.base.index)
+        # What a full disk doesn't let be removed now is removed after the next snapshot.
+        with contextlib.suppress(DiskFullError):
+            storage.remove_covered_segments(self._folder, snapshot.base.index)
         logs.info(Event.SNAPSHOT_WRITTEN, group=self.group, index=snapshot.base.index)
 
 
