Watch callers that have sent little ahead, and keep idle connections for want of memory

A caller whose next request had begun was no longer watched at all, and a lack of memory closed idle connections, which hold next to none: a request was then admitted although the memory was still at its limit.

Only stalled connections are closed for want of memory, and the limit is checked again afterwards.

--- a/verbenashore/budget.py
+++ b/verbenashore/budget.py
@@ -192,6 +192,10 @@
         """The descriptors of clients; a request that runs needs one to a backend server."""
         return len(self._accounts) + self._running
 
+    @property
+    def _is_full(self) -> bool:
+        return self.held_bytes >= self.memory_limit
+
     def add_group(self, *, is_page: bool = False) -> Group:
         """Returns the group for the connections of a server.
 
@@ -224,10 +228,11 @@
         """Counts a request that is to run; returns false if there is no room for it."""
         if not self._find_descriptor(account):
             return False
-        is_full = self.held_bytes >= self.memory_limit and not account.group.is_page
-        if is_full and not self._evict(account):
-            self.report(Limit.MEMORY)
-            return False
+        if self._is_full and not account.group.is_page:
+            self.make_room(account)
+            if self._is_full:
+                self.report(Limit.MEMORY)
+                return False
         self._running += 1
         account.group.descriptors += 1
         account.requests += 1
@@ -327,8 +332,8 @@
         self._lingering -= 1
 
     def make_room(self, account: Account) -> None:
-        """Closes connections that nothing depends on, to free memory for another."""
-        self._evict(account)
+        """Closes stalled connections, to free memory for another; idle ones hold little."""
+        self._evict(account, stalled_only=True)
 
     def report(self, limit: Limit) -> None:
         """Counts that a limit has taken effect, and reports it unless that was just done."""
@@ -338,7 +343,9 @@
             self._report_at_by_limit[limit] = now
             self._on_limit(limit, self._unreported.pop(limit))
 
-    def _evict(self, keep: Account, group: Group | None = None) -> bool:
+    def _evict(
+        self, keep: Account, group: Group | None = None, *, stalled_only: bool = False
+    ) -> bool:
         """Closes some connections, of a group or of any, that nothing depends on."""
         now = self.clock()
         if now < self._search_at:
@@ -349,6 +356,7 @@
             for account in self._accounts
             if account is not keep
             and (group is None or account.group is group)
+            and not (stalled_only and account.state is ClientState.IDLE)
             and (rank := _eviction_rank(account, now, greedy_peer))
         )
         chosen = heapq.nsmallest(EVICTION_COUNT, ranked)
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -478,9 +478,10 @@
         if state.answer_bytes:
             state.answer_bytes = max(state.answer_bytes, len(request.body))
             # What a body takes is free again when its answer is made.
-            expected = max(0, state.answer_bytes - account.held)
-            await self._hold(expected)
-            respond.on_start = lambda: budget.release(account, expected)
+            expected = state.answer_bytes - account.held
+            if expected > 0:
+                await self._hold(expected)
+                respond.on_start = lambda: budget.release(account, expected)
         if not budget.start_request(account):
             raise _limit_reached("memory or descriptors")
 
@@ -515,8 +516,9 @@
         nothing more is read until the answer is sent.
         """
         handling = asyncio.ensure_future(self._handle_request(request, respond))
-        if self._connection.trailing_data[0]:
+        if waiting := self._connection.trailing_data[0]:
             self._count_pipelining(respond)
+        if len(waiting) >= READ_BYTES:
             try:
                 await handling
             finally:
@@ -528,7 +530,8 @@
             if not handling.done():
                 if reading.result() == b"":
                     raise ConnectionResetError("the caller closed the connection")
-                self._count_pipelining(respond)
+                if not waiting:
+                    self._count_pipelining(respond)
             await handling
         finally:
             await misc.cancel_and_wait(handling, reading)
