Bound the calls that may overlap at a server by its slots, not by all entries

With 300 entries, no call of 700 tokens could go at once to a server of 72,000 tokens: 300 of them would not fit, so each went with a chance of 1 in 300 at an attempt.

A server runs as many calls as it has slots and rejects others, so at most twice its slots may overlap. The new test fails without the change; the test of many members and one server near its limit passes as before.

Also drops a comment that told how constants had been chosen.

--- a/tests/test_servermemory.py
+++ b/tests/test_servermemory.py
@@ -122,6 +122,16 @@
     assert most <= MEMORY and granted > 20
 
 
+def test_many_members_do_not_keep_ordinary_calls_waiting():
+    """Guards the calls of 300 entries, whose calls together would exceed any server's memory."""
+    directory = Directory()
+    directory.install_list(make_servers(1, slots=8), 0.0)
+    dispatcher = declare(Dispatcher(directory, LoadTable(), "dc"), members=300)
+    for number in range(4):
+        ticket = sized(f"c{number}", 700, float(number))
+        assert dispatcher.request(ticket, float(number)).verdict is Verdict.GRANTED
+
+
 @pytest.mark.parametrize("tokens", [-1, MAX_TOKENS + 1, -(1 << 40)])
 def test_invalid_tokens_of_another_member_do_not_count(tokens):
     table = LoadTable()
--- a/verbenashore/estimates.py
+++ b/verbenashore/estimates.py
@@ -14,8 +14,6 @@
 from verbenashore.speeds import LOAD_SLOWDOWN, Speeds
 from verbenashore.types import BackendName
 
-# The following four were chosen by plays of tests/waves.py, on servers of the same speed and of
-# different ones, by the share of late calls, of rejected ones and of items that had to stop.
 #: Seconds that a server in another data centre costs.  The round trip takes 1 to 2 ms; the rest
 #: stands for the bytes between data centres, and for reports from there, which are older.
 FAR_SECONDS = 0.07
--- a/verbenashore/servermemory.py
+++ b/verbenashore/servermemory.py
@@ -3,7 +3,7 @@
 A server has memory for the tokens of its calls, prompts and answers, and crashes if they exceed
 it.  The load reports add up the tokens of the calls in progress, but are some exchanges old:
 members that place at the same moment don't know of each other's calls.  A call that would fit if
-every member placed one like it may go at once.  A larger one, or one at a server that is nearly
+every member placed one like it, as far as the server's slots allow, may go at once.  A larger one, or one at a server that is nearly
 full, may go with a small chance only, so that members seldom do so within the age of a report.
 
 It is made for 25 members, and servers of 72,000 tokens that run 8 calls of 500 to 5,000 tokens.
@@ -25,6 +25,9 @@
 #: Highest chance that such a call may go to a server at one attempt; a queued call has a hundred a
 #: second.  Among many members it is one by their number.
 LARGE_CHANCE = 0.05
+#: Members that may place at a server at the same moment, for each of its slots: it rejects further
+#: calls itself, and holds none of them.
+MEMBERS_PER_SLOT = 2
 #: Seconds for which what this member has placed at a server may be unknown to others, and what they
 #: have placed to it.
 UNKNOWN_SECONDS = 0.15
@@ -93,12 +96,13 @@
             return True
         room = declared * USED_PART - load.tokens
         unknown = self._placed_lately(server.name, now)
-        if (unknown + tokens) * self.members <= room + unknown:
+        members = min(self.members, MEMBERS_PER_SLOT * server.slots)
+        if (unknown + tokens) * members <= room + unknown:
             return True
         if tokens > room * LARGE_PART and not (_is_idle(load) and tokens <= declared):
             return False
-        chance = min(LARGE_CHANCE, 1 / self.members) * share
-        return self.members == 1 or self._random.random() < chance
+        chance = min(LARGE_CHANCE, 1 / members) * share
+        return members == 1 or self._random.random() < chance
 
     def record_placed(self, server: BackendEntry, tokens: int, now: float) -> None:
         """Records that this member sends a call to a server."""
