--- a/tests/test_fulldisk.py
+++ b/tests/test_fulldisk.py
@@ -235,6 +235,32 @@
     assert read() == (20, 20, 21)
 
 
+def test_an_installed_snapshot_is_written_once(tmp_path, monkeypatch):
+    """Guards against an installation that needs space for its snapshot again at each attempt."""
+    disks = Disks(monkeypatch)
+    folder, _ = storage.open_folder(tmp_path)
+    storage.write(folder, HardState(1, "x"), [entry(1, 1)])
+    arguments = folder, HardState(2, "y"), Snapshot(Base(20, 2), b"state"), [entry(21, 2)]
+    # The write and sync of the snapshot, its rename and the sync of the folder succeed.
+    disks.full, disks.first = {tmp_path}, 4
+    with pytest.raises(DiskFullError, match="No space"):
+        storage.reset_log(*arguments)
+    assert list(tmp_path.glob("snapshot-*")) and (tmp_path / "log-0000000001").exists()
+    # The folder is synced again before anything else, as its first sync may have failed.
+    disks.first = 0
+    with pytest.raises(DiskFullError) as refused:
+        storage.reset_log(*arguments)
+    assert refused.value.step == "snapshot"
+    disks.full = set()
+    monkeypatch.setattr(storage, "_free_bytes", lambda _path: 4096)
+    storage.reset_log(*arguments)
+    assert not (tmp_path / "log-0000000001").exists()
+    storage.close(folder)
+    _, recovered = storage.open_folder(tmp_path)
+    assert recovered.snapshot.data == b"state"
+    assert [e.index for e in recovered.entries] == [21]
+
+
 def test_a_ledger_process_waits_for_space_at_its_start_and_when_it_stands_by(tmp_path, monkeypatch):
     """Guards against a process that ends, and is started again and again, on a full disk."""
     monkeypatch.setattr(fulldisk, "LONG_RETRY_SECONDS", 0.1)
--- a/verbenashore/storage.py
+++ b/verbenashore/storage.py
@@ -140,14 +140,21 @@
 def write_snapshot(folder: DataFolder, snapshot: Snapshot) -> None:
     """Writes a snapshot and removes the older ones; may run concurrently with :func:`write`.
 
+    A snapshot that an earlier attempt has written is not written again, so that repeating what
+    follows it needs no space for a second copy.
+
     :raises StorageError: if the disk fails.
     """
     try:
         data = _frame(msgspec.msgpack.encode(snapshot))
-        if _free_bytes(folder.path) < len(data) + SNAPSHOT_SPARE_BYTES:
-            raise OSError(errno.ENOSPC, f"a snapshot of {len(data)} bytes doesn't fit")
         target = folder.path / f"snapshot-{snapshot.base.index:020d}"
-        _write_file(target, data)
+        if _is_written(target, data):
+            # The earlier attempt may have failed to sync the folder.
+            _sync_directory(folder.path)
+        elif _free_bytes(folder.path) < len(data) + SNAPSHOT_SPARE_BYTES:
+            raise OSError(errno.ENOSPC, f"a snapshot of {len(data)} bytes doesn't fit")
+        else:
+            _write_file(target, data)
         for older in folder.path.glob("snapshot-*"):
             if older.name < target.name:
                 older.unlink()
@@ -418,6 +425,19 @@
     _sync_directory(path.parent)
 
 
+def _is_written(path: Path, data: bytes) -> bool:
+    """Returns whether a file of :func:`_write_file` has the size and the header of a record.
+
+    The header has the checksum of the payload, and the file was synced before it got its name.
+    """
+    try:
+        with path.open("rb") as stream:
+            header = stream.read(RECORD_HEADER.size)
+            return header == data[: RECORD_HEADER.size] and stream.seek(0, os.SEEK_END) == len(data)
+    except FileNotFoundError:
+        return False
+
+
 def _sync_directory(path: Path) -> None:
     descriptor = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
     try:
