Drop the record of refused addresses once they need no save

What operators saw: group_N.disk_full_seconds grew for good on a healthy disk, until the process ended.

Cause: a full disk had refused the addresses that a process which stands by saves, and that save is repeated only by an answer of the leader with other addresses than those saved. If the process joined the group meanwhile, or the leader named the saved addresses again, nothing was written any more that could end the record.

The whole test suite was not run.

--- a/tests/test_fulldisk.py
+++ b/tests/test_fulldisk.py
@@ -13,6 +13,7 @@
 from tests.test_view import ledger_settings
 from verbenashore import consensus, control, fulldisk, ledger, machine, storage
 from verbenashore.exceptions import DiskFullError, NotLeaderError, StorageError, UnavailableError
+from verbenashore.messages import StandBy
 from verbenashore.process import Process
 from verbenashore.replica import SnapshotWritten
 from verbenashore.replication import (
@@ -292,6 +293,41 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("joins", [True, False])
+def test_addresses_that_need_not_be_saved_any_more_are_not_refused(tmp_path, monkeypatch, joins):
+    """Guards against a disk that counts as full for good, since nothing is written to it again.
+
+    The process joins the group, or else the leader names the addresses that are saved already.
+    """
+    disks = Disks(monkeypatch)
+
+    class Link:
+        async def call(self, _message, _timeout):
+            return StandBy([])
+
+    async def scenario():
+        address = own_address()
+        running = Process(ledger_settings(tmp_path, address, address))
+        process = ledger.LedgerProcess(running)
+        runner = process._runner_by_group[0]
+        disks.full.add(tmp_path)
+        await process._save_peers(runner, ["1.2.3.4:5"])
+        disks.full.clear()
+        assert runner.disk.seconds()
+        if joins:
+            runner.bootstrap((runner.peer,))
+            maintaining = asyncio.create_task(process._maintain_membership(runner))
+            await asyncio.sleep(0.05)
+            maintaining.cancel()
+        else:
+            monkeypatch.setattr(running.links, "to", lambda _address: Link())
+            assert await process._ask_to_join(runner, "1.2.3.4:5")
+        assert not runner.disk.seconds()
+        await running.close()
+
+    asyncio.run(scenario())
+
+
 def test_a_refused_snapshot_is_repeated_and_does_not_hold_up_the_log(tmp_path, monkeypatch):
     """Guards against a log that grows for good since a snapshot was refused once."""
     monkeypatch.setattr(fulldisk, "LONG_RETRY_SECONDS", 0.1)
--- a/verbenashore/fulldisk.py
+++ b/verbenashore/fulldisk.py
@@ -102,6 +102,10 @@
                 attempts=refusal.count,
             )
 
+    def drop_refused(self, step: Step) -> None:
+        """Drops the record of a refused write that is no longer needed, and so isn't repeated."""
+        self._refusal_by_step.pop(step, None)
+
     async def write(
         self,
         step: Step,
--- a/verbenashore/ledger.py
+++ b/verbenashore/ledger.py
@@ -618,6 +618,8 @@
             leaderless = self._clock() - runner.core.leader_contact_at > LEADERLESS_SECONDS
             if is_member and (not leaderless or runner.core.role is Role.LEADER):
                 runner.leader_hint = ""
+                # Only a process that stands by saves the addresses.
+                runner.disk.drop_refused(Step.PEERS)
                 if runner.group == CONTROL_GROUP:
                     self.control.set_addresses(runner.addresses)
             elif runner.disk.refuses_log:
@@ -698,6 +700,8 @@
             self.control.set_addresses(answer.ledgers)
             if self._peers != set(answer.ledgers):
                 await self._save_peers(runner, answer.ledgers)
+            else:
+                runner.disk.drop_refused(Step.PEERS)
         return True
 
     async def _save_peers(self, runner: ReplicaRunner, addresses: list[str]) -> None:
