--- a/verbenashore/servermemory.py
+++ b/verbenashore/servermemory.py
@@ -3,8 +3,9 @@
 A server has memory for the tokens of its calls, prompts and answers, and crashes if they exceed
 it.  The load reports add up the tokens of the calls in progress, but are some exchanges old:
 members that place at the same moment don't know of each other's calls.  A call that would fit if
-every member placed one like it, as far as the server's slots allow, may go at once.  A larger one, or one at a server that is nearly
-full, may go with a small chance only, so that members seldom do so within the age of a report.
+every member placed one like it, as far as the server's slots allow, may go at once.  A larger one,
+or one at a server that is nearly full, may go with a small chance only, so that members seldom do
+so within the age of a report.
 
 It is made for 25 members, and servers of 72,000 tokens that run 8 calls of 500 to 5,000 tokens.
 """
