Let a limit of less than one request admit one at a time

Callers of a workspace with 0.5 requests a second and no burst got 429 for every request, and those of one with 1 or with rate + burst of 1 as long as an entry of the list was out of reach: the room compared with one request was the limit times the fraction, which was below 1 whatever had been admitted.

While an entry reaches more than half of all entries, both limits in use are at least one request, for the decision and for the stated wait. Only one side of a partition has more than half, so at most one request comes on top of the part of the other side, within the tolerance of 20.

--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -204,6 +204,15 @@
     assert fraction_in_use(1, 0) == 0
 
 
+@pytest.mark.parametrize(("rate", "burst"), [(0.5, 0.0), (0.1, 0.0), (0.5, 0.5), (1.0, 0.0)])
+@pytest.mark.parametrize("reach", [3, 2])
+def test_a_limit_of_less_than_one_request_lets_one_through_and_then_refuses(rate, burst, reach):
+    """Guards workspaces with a small limit, which were refused for ever."""
+    quotas, table = make_quotas(Workspace("tiny", (), None, rate, burst), entries=reach)
+    table.record(UsageReport("p", 1, 2, reach - 1, 3, 0.0, {}), 0.0)
+    assert quotas.admit("tiny", 0.0) == 0 < quotas.admit("tiny", 0.1)
+
+
 def test_a_request_that_did_not_run_makes_room_for_another():
     quotas, _ = make_quotas(SMALL, entries=2)
     admitted = 0
--- a/verbenashore/quotas.py
+++ b/verbenashore/quotas.py
@@ -374,10 +374,8 @@
     @staticmethod
     def _room(use: WorkspaceUse, state: QuotaState, now: float) -> float:
         """Returns how many requests may still be admitted by what is known."""
-        room = min(
-            use.window_limit * state.fraction - state.used,
-            use.second_limit * state.fraction - state.used_second,
-        )
+        window_limit, second_limit = limits_in_use(use, state)
+        room = min(window_limit - state.used, second_limit - state.used_second)
         is_partitioned = 0 < 2 * state.reach <= state.entries
         if is_partitioned and use.rounding * state.entries < UNREACHED_REQUESTS:
             return max(room, 1.0 - use.admitted.window(now))
@@ -401,20 +399,34 @@
         use.limited_at = now
         charges = self._start_charge(use, now)
         if (
-            use.window_limit - state.used + charges[1] >= 1
-            and use.second_limit - state.used_second + charges[0] >= 1
+            max(1.0, use.window_limit) - state.used + charges[1] >= 1
+            and max(1.0, use.second_limit) - state.used_second + charges[0] >= 1
             and not self._is_heavy(use, now, now - self._started_at)
         ):
             return self._random.uniform(*TRANSIENT_RETRY_SECONDS)
         # Those who were refused in the last second return as well, at all entries.
         demand = max(0.0, 1 - room) + use.refused.second(now) * state.reach
         seconds = demand / max(use.workspace.per_second * state.fraction, 1e-3)
-        if state.used + 1 > use.window_limit * state.fraction:
+        if state.used + 1 > limits_in_use(use, state)[0]:
             seconds = max(seconds, use.admitted.seconds_to_oldest_end(now))
         spread = self._random.uniform(*RETRY_SPREAD)
         return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, seconds * spread))
 
 
+def limits_in_use(use: WorkspaceUse, state: QuotaState) -> tuple[float, float]:
+    """Returns how many requests of the window and of the last second this entry may let happen.
+
+    Entries that reach more than half of all allow at least one, or a workspace whose limits, or
+    its parts of them, are below one request would be refused for ever.  Only one side of a
+    partition has more than half, so the tolerance of 20 requests covers it.
+    """
+    least = 1.0 if 0 < state.entries < 2 * state.reach else 0.0
+    return (
+        max(least, use.window_limit * state.fraction),
+        max(least, use.second_limit * state.fraction),
+    )
+
+
 def fraction_in_use(reach: int, entries: int) -> float:
     """Returns the part of each limit that entries use that reach only some of all entries.
 
