Relay the counts of workspaces that an entry does not know

While an entry inside the load tree has an older route table, the entries on its different sides each admitted up to the whole limit of a new workspace: it removed the workspaces that it doesn't know from the reports before relaying them, but still counted the entries behind it as covered.

Unknown workspaces are kept for relaying now, up to 1,000 in all so that reports stay far below the size of a datagram; only known ones are looked up.

--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -8,7 +8,7 @@
 from tests.quotafleets import QuotaFleet, bound
 from verbenashore.quotas import MAX_RETRY_SECONDS, WorkspaceQuotas, fraction_in_use
 from verbenashore.routing import RouteTable, Workspace
-from verbenashore.usage import MARK, UsageReport, UsageTable, key_of
+from verbenashore.usage import MARK, MAX_RELAYED_KEYS, UsageReport, UsageTable, key_of
 
 LARGE = Workspace("large", (), None, 83.0, 83.0)
 SMALL = Workspace("small", (), None, 4.0, 4.0)
@@ -256,6 +256,20 @@
     assert quotas.admit("small", 0.0) == 0
 
 
+def test_an_entry_that_is_behind_relays_the_counts_of_workspaces_that_it_does_not_know():
+    """Guards a whole limit on each side of it, and reports that grow without bound."""
+    _, table = make_quotas(SMALL)
+    report = UsageReport("q", 1, 1, 1, 3, 0.0, {key_of("large"): (9, 9, 9)})
+    assert table.record(report, 0.0)
+    assert table.relayed("p", {}, 0.0)[2] == {key_of("large"): (9, 9, 9)}
+    many = {n: (1, 1, 1) for n in range(2 * MAX_RELAYED_KEYS)} | {key_of("small"): (1, 1, 1)}
+    assert table.record(UsageReport("r", 1, 1, 1, 3, 0.0, many), 0.0)
+    assert len(table.relayed("p", {}, 0.0)[2]) == MAX_RELAYED_KEYS + 1
+    assert table.counts(key_of("small")) == (1, 1, 1)
+    table.retain((), 0.0)
+    assert not table.relayed("p", {}, 0.0)[2]
+
+
 def test_without_limits_nothing_is_sent_and_everything_admitted():
     free = Workspace("free")
     fleet = QuotaFleet(8, (free,))
--- a/verbenashore/usage.py
+++ b/verbenashore/usage.py
@@ -35,6 +35,9 @@
 #: Largest number of entries and of requests that is accepted from another member.
 MAX_ENTRIES = 10_000
 MAX_REQUESTS = 1_000_000
+#: Number of workspaces above which no further ones are relayed that this entry doesn't know.  With
+#: the known ones a report then stays far below the 64 KB of a datagram.
+MAX_RELAYED_KEYS = 1_000
 
 #: Names a workspace in a report: a hash of four bytes, since names are long.  Two workspaces with
 #: the same hash would be counted as one; among 330 of them the probability is 0.00002.
@@ -173,8 +176,8 @@
         self._update_expiry()
 
     def counts(self, key: WorkspaceKey) -> Counts:
-        """Returns the requests of a workspace that the other entries reported."""
-        return self._counts_by_key.get(key, NO_REQUESTS)
+        """Returns the requests of a workspace known here that the other entries reported."""
+        return self._counts_by_key.get(key, NO_REQUESTS) if key in self.known_keys else NO_REQUESTS
 
     def lost_requests(self, key: WorkspaceKey, now: float) -> tuple[float, float]:
         """Returns the requests of entries that became unreachable lately, and since when.
@@ -282,18 +285,26 @@
         )
 
     def _validated(self, report: UsageReport) -> UsageReport | None:
-        """Returns a report without the workspaces that aren't known here; None if it is invalid."""
+        """Returns a report with consistent counts; None if it is invalid.
+
+        Workspaces that aren't known here are kept up to a number: while this entry has an older
+        route table, entries on its different sides learn of each other's requests through it.
+        """
         if not (1 <= report.entries <= MAX_ENTRIES and 0 <= report.known_entries <= MAX_ENTRIES):
             return None
         if not 0 <= report.age <= WINDOW_SECONDS:
             return None
         counts_by_key = {}
+        unknown_room = MAX_RELAYED_KEYS - len(self._counts_by_key)
         for key, counts in report.counts_by_key.items():
             if not all(0 <= count <= MAX_REQUESTS for count in counts):
                 return None
-            if key in self.known_keys:
-                sent, second, window = counts
-                counts_by_key[key] = (sent, min(second, window), window)
+            if key not in self.known_keys and key not in self._counts_by_key:
+                unknown_room -= 1
+                if unknown_room < 0:
+                    continue
+            sent, second, window = counts
+            counts_by_key[key] = (sent, min(second, window), window)
         return msgspec.structs.replace(report, counts_by_key=counts_by_key)
 
 
