Wait for certainty before an unknown key of a job request counts as none

At a host with a public batch route, an entry that hadn't the newest version yet took a key that it doesn't know for no key: the owner of a job got 404 in place of 503, and a job was stored without its owner.

For submissions and requests that name jobs, an unknown key is uncertain while the version isn't confirmed as the newest, or confirmed longer ago than revoke_ms with revoke_fail_closed: 503, and a retry waits. Online calls on public routes, and calls without a key, are decided as before.

The new checks fail without the change; tests/test_keys.py passes with it.

--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -65,6 +65,24 @@
     assert (decision.verdict, decision.workspace) == (verdict, workspace)
 
 
+@pytest.mark.parametrize(
+    ("key", "confirmation", "bounds", "verdict", "workspace"),
+    [
+        ("new", STALE, OPEN, KeyVerdict.UNCERTAIN, None),
+        ("new", Confirmation(True, 6.0), CLOSED, KeyVerdict.UNCERTAIN, None),
+        ("gone", CURRENT, CLOSED, KeyVerdict.GRANTED, ""),
+        ("", STALE, CLOSED, KeyVerdict.GRANTED, ""),
+        ("key-a", STALE, OPEN, KeyVerdict.GRANTED, "a"),
+    ],
+)
+def test_an_unknown_key_is_no_key_for_public_jobs_only_once_that_is_certain(
+    key, confirmation, bounds, verdict, workspace
+):
+    """Guards jobs that are stored without their owner, and owners who are told of no such job."""
+    decision = keys.decide(INDEX, key, True, confirmation, bounds, names_owner=True)
+    assert (decision.verdict, decision.workspace) == (verdict, workspace)
+
+
 def test_without_workspaces_no_key_is_read_and_with_none_every_key_is_unknown():
     """Guards deployments without workspaces, and an empty list that is taken for none."""
     none = keys.decide(RouteIndex(make_table(workspaces=None)), "x", False, STALE, CLOSED)
@@ -214,6 +232,11 @@
         assert (await entry.read(""), await entry.read("key-a")) == ("", "a")
         with pytest.raises(UnknownKeyError):
             await entry.read("", host="other")
+        entry.confirm(age=2.0)
+        assert (await entry.read(""), await entry.find("/p/x", "key-c")) == ("", "")
+        for ask in (entry.read("key-c"), entry.find("/j/x", "key-c")):
+            with pytest.raises(OverloadedError):
+                await ask
 
     run_with_entry(check)
 
--- a/verbenashore/keys.py
+++ b/verbenashore/keys.py
@@ -62,19 +62,28 @@
 
 
 def decide(
-    routes: RouteIndex, key: str, public: bool, confirmation: Confirmation, bounds: KeyBounds
+    routes: RouteIndex,
+    key: str,
+    public: bool,
+    confirmation: Confirmation,
+    bounds: KeyBounds,
+    names_owner: bool = False,
 ) -> KeyDecision:
     """Decides whether a call may go on, and whose it is.
 
     :param key: the API key that the call carries; "" if it has none.
     :param public: true if the call needs no key.
+    :param names_owner: true if the workspace owns what the call submits, or decides what it finds:
+        a key that a newer route table may know is then not the same as none.
     """
     if routes.table.workspaces is None:
         return NO_KEYS_NEEDED
     workspace = routes.workspace_of_key(key) if key else None
-    if workspace is None and public:
+    is_too_old = bounds.fail_closed and confirmation.age > bounds.max_age
+    is_certain = confirmation.is_current and not is_too_old
+    if workspace is None and public and (is_certain or not (key and names_owner)):
         return KeyDecision(KeyVerdict.GRANTED, NO_WORKSPACE)
-    if key and bounds.fail_closed and confirmation.age > bounds.max_age:
+    if key and is_too_old:
         return KeyDecision(
             KeyVerdict.UNCERTAIN, reason="the configuration was confirmed too long ago"
         )
--- a/verbenashore/routefinder.py
+++ b/verbenashore/routefinder.py
@@ -13,7 +13,7 @@
 from verbenashore.logs import Event
 from verbenashore.process import Process
 from verbenashore.retries import LATEST_START_SHARE, RetryDetector
-from verbenashore.routing import Route, RouteIndex, RouteTable
+from verbenashore.routing import Route, RouteIndex, RouteKind, RouteTable
 from verbenashore.types import WorkspaceId
 from verbenashore.view import SystemView
 
@@ -174,7 +174,10 @@
         confirmation = Confirmation(
             self._view.is_current(), self._process.clock() - self._view.confirmed_at
         )
-        decision = keys.decide(self.routes, origin.key, public, confirmation, self._bounds)
+        is_for_job = route is None or route.kind is RouteKind.BATCH
+        decision = keys.decide(
+            self.routes, origin.key, public, confirmation, self._bounds, names_owner=is_for_job
+        )
         is_uncertain = decision.verdict is KeyVerdict.UNCERTAIN
         return _Finding(route, decision, decision.reason if is_uncertain else "")
 
