Read no headers of job requests while there are no workspaces

Since jobs have owners, GET and DELETE of jobs and GET of items read the caller's timeout in every deployment, so a malformed one gave 400 where it was ignored before, also without workspaces.

While the table in force has no workspaces, these requests go to the job at once again. An entry without any table still answers 503: it can't tell whether the job has an owner.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,6 +10,7 @@
 import pytest
 
 from lab.fleet import ROOT
+from tests.gateways import gateway
 from tests.platforms import HOST, configuration, route, wire
 from verbenashore import routing
 from verbenashore.backendcall import Call
@@ -18,7 +19,7 @@
 from verbenashore.exceptions import BadRequestError
 from verbenashore.httpserver import Request
 from verbenashore.keys import KeyBounds
-from verbenashore.routing import RouteKind, Workspace
+from verbenashore.routing import RouteIndex, RouteKind, RouteTable, Workspace
 
 PLATFORM_NAMES = re.compile(
     r"x-verbenashore-|/verbenashore/|VERBENASHORE_SETTINGS|target_latency_ms|path_prefix|dead_letter"
@@ -406,6 +407,32 @@
         assert wire.read_origin(Request("GET", "/", "/", {}, fields, b"")).key == key
 
 
+@pytest.mark.parametrize(("workspaces", "expected"), [(None, 200), ((), 400)])
+def test_the_timeout_of_a_job_request_is_read_only_where_there_are_workspaces(workspaces, expected):
+    """Guards deployments without workspaces, where such requests were served before."""
+    answers = []
+
+    class Responder:
+        started = False
+
+        async def send_json(self, status, _document, _headers=None):
+            answers.append(status)
+
+    async def end_job(job, workspace):
+        return (job, workspace) == ("j", None)
+
+    async def run():
+        async with gateway() as made:
+            made.finder.routes = RouteIndex(RouteTable(1, workspaces=workspaces))
+            made.end_job = end_job
+            handle_request = importlib.import_module("callers").callers_handler(made, 60.0)
+            path, fields = "/verbenashore/lots/j", {wire.DEADLINE_MS: "soon"}
+            await handle_request(Request("DELETE", path, path, {}, fields, b""), Responder())
+
+    asyncio.run(run())
+    assert answers == [expected]
+
+
 def test_keys_among_the_headers_of_items_are_not_stored():
     """Guards keys on the disks of ledger processes."""
     item = {"id": "i", "path": "/", "headers": {"Api-Key": "key-a", "X-Other": "kept"}}
--- a/verbenashore/routefinder.py
+++ b/verbenashore/routefinder.py
@@ -89,6 +89,11 @@
         self._changed = asyncio.Event()
         self._random = random.Random(misc.quick_hash(process.incarnation))
 
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether the route table has workspaces; also true while there is none that tells."""
+        return not self.routes.table.version or self.routes.table.workspaces is not None
+
     def wake_waiters(self) -> None:
         """Wakes the calls that wait for certainty, after a confirmation or another table."""
         self._changed.set()
