Count entries that vanished for a minute, not for an hour

Entries that crashed and were replaced under other names lowered the limits of all workspaces for an hour: with 9 of 19 replaced, 0.84 of each limit was in use. If the list stayed the same afterwards it never ended, since only a new list removed them.

They count for 60 s now, by the clock.

The new test finds 28 entries in place of 19 after 60 s with the former value; tests/test_quotas.py and test_quotagate.py pass with it.

--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -6,8 +6,10 @@
 import pytest
 
 from tests.quotafleets import QuotaFleet, bound
+from verbenashore.messages import Member
 from verbenashore.quotas import MAX_RETRY_SECONDS, WorkspaceQuotas, fraction_in_use
 from verbenashore.routing import RouteTable, Workspace
+from verbenashore.types import MemberRole, MemberState
 from verbenashore.usage import MARK, MAX_RELAYED_KEYS, UsageReport, UsageTable, key_of
 
 LARGE = Workspace("large", (), None, 83.0, 83.0)
@@ -213,6 +215,19 @@
     assert quotas.admit("tiny", 0.0) == 0 < quotas.admit("tiny", 0.1)
 
 
+def test_entries_that_were_replaced_under_other_names_lower_the_limits_for_a_minute_only():
+    """Guards against an hour with 0.84 of each limit, while the list stays the same."""
+
+    def listed(names):
+        return [Member(n, "", MemberRole.ENTRY, "", "", "", MemberState.SERVING, 1) for n in names]
+
+    table = UsageTable()
+    table.entry_number.set_members(listed(range(19)), 0.0)
+    table.entry_number.set_members(listed(range(9, 28)), 10.0)
+    assert (table.entries(69.0), table.entries(70.0)) == (28, 19)
+    assert round(fraction_in_use(19, 28), 2) == 0.84
+
+
 def test_a_request_that_did_not_run_makes_room_for_another():
     quotas, _ = make_quotas(SMALL, entries=2)
     admitted = 0
--- a/verbenashore/usage.py
+++ b/verbenashore/usage.py
@@ -30,8 +30,10 @@
 #: Seconds over which requests are counted, and for which the counts of lost entries are kept.
 WINDOW_SECONDS = 5.0
 #: Seconds for which an entry that vanished from the list without having drained still counts: it
-#: may be partitioned from the leader and still admit requests.
-VANISHED_SECONDS = 3600.0
+#: may be partitioned from the leader and still admit requests.  Entries that crashed and were
+#: replaced under other names lower every limit for so long.  A single entry that is cut off for
+#: longer uses at most its own small part, which the tolerance of a tenth of a limit covers.
+VANISHED_SECONDS = 60.0
 #: Largest number of entries and of requests that is accepted from another member.
 MAX_ENTRIES = 10_000
 MAX_REQUESTS = 1_000_000
@@ -112,16 +114,19 @@
                 self._vanished_at_by_name[name] = now
         self._state_by_name = state_by_name
         self._vanished_at_by_name = {
-            name: at
-            for name, at in self._vanished_at_by_name.items()
-            if name not in state_by_name and now - at < VANISHED_SECONDS
+            name: at for name, at in self._vanished_at_by_name.items() if name not in state_by_name
         }
 
-    @property
-    def known(self) -> int:
-        """The number of entries; 0 if no list is known."""
+    def known(self, now: float) -> int:
+        """Returns the number of entries; 0 if no list is known."""
         if not self._state_by_name:
             return 0
+        # The list may stay the same for long.  The names are in the order in which they vanished.
+        while self._vanished_at_by_name:
+            name, at = next(iter(self._vanished_at_by_name.items()))
+            if now - at < VANISHED_SECONDS:
+                break
+            del self._vanished_at_by_name[name]
         return len(self._state_by_name) + len(self._vanished_at_by_name)
 
 
@@ -208,7 +213,7 @@
         The list of a starting entry grows while others register.  0 if the number is unknown.
         """
         told = self._told_entries if now - self._told_at <= WINDOW_SECONDS else 0
-        return max(self.entry_number.known, told)
+        return max(self.entry_number.known(now), told)
 
     def relayed(
         self, member: MemberName, own_counts: dict[WorkspaceKey, Counts], now: float
@@ -268,7 +273,7 @@
             for key, counts in old_counts.items()
         }
         # While members change their parents, some entries are covered twice.
-        known = self.entry_number.known
+        known = self.entry_number.known(at)
         before, lost = min(self._entries, known - 1) if known else self._entries, self._lost
         if after >= before:
             return
@@ -372,7 +377,7 @@
         self._table.expire(now)
         own_counts = self._own_counts(now)
         # Numbers that others told of aren't passed on, or a former one would never be forgotten.
-        known_entries = self._table.entry_number.known
+        known_entries = self._table.entry_number.known(now)
         self._number += 1
         datagrams = []
         for node in nodes:
