--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -407,9 +407,8 @@
         assert wire.read_origin(Request("GET", "/", "/", {}, fields, b"")).key == key
 
 
-@pytest.mark.parametrize(("workspaces", "expected"), [(None, 200), ((), 400)])
-def test_the_timeout_of_a_job_request_is_read_only_where_there_are_workspaces(workspaces, expected):
-    """Guards deployments without workspaces, where such requests were served before."""
+def job_request_status(workspaces, method, query, fields):
+    """Returns the status of a request that names a job, at an entry with a route table."""
     answers = []
 
     class Responder:
@@ -426,11 +425,23 @@
             made.finder.routes = RouteIndex(RouteTable(1, workspaces=workspaces))
             made.end_job = end_job
             handle_request = importlib.import_module("callers").callers_handler(made, 60.0)
-            path, fields = "/verbenashore/lots/j", {wire.DEADLINE_MS: "soon"}
-            await handle_request(Request("DELETE", path, path, {}, fields, b""), Responder())
+            path = "/verbenashore/lots/j"
+            await handle_request(Request(method, path, path, query, fields, b""), Responder())
 
     asyncio.run(run())
-    assert answers == [expected]
+    return answers[0]
+
+
+@pytest.mark.parametrize(("workspaces", "expected"), [(None, 200), ((), 400)])
+def test_the_timeout_of_a_job_request_is_read_only_where_there_are_workspaces(workspaces, expected):
+    """Guards deployments without workspaces, where such requests were served before."""
+    assert job_request_status(workspaces, "DELETE", {}, {wire.DEADLINE_MS: "soon"}) == expected
+
+
+@pytest.mark.parametrize("after", ["²", "٣", "-1", "x", "9" * 5000])
+def test_a_position_that_is_no_number_is_refused(after):
+    """Guards against digits that can't be converted to a number."""
+    assert job_request_status(None, "GET", {"after": after}, {}) == 400
 
 
 def test_keys_among_the_headers_of_items_are_not_stored():
