--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,6 +10,7 @@
 import pytest
 
 from lab.fleet import ROOT
+from tests.gateways import gateway
 from tests.platforms import HOST, configuration, route, wire
 from verbenashore import routing
 from verbenashore.backendcall import Call
@@ -18,7 +19,7 @@
 from verbenashore.exceptions import BadRequestError
 from verbenashore.httpserver import Request
 from verbenashore.keys import KeyBounds
-from verbenashore.routing import RouteKind, Workspace
+from verbenashore.routing import RouteIndex, RouteKind, RouteTable, Workspace
 
 PLATFORM_NAMES = re.compile(
     r"x-verbenashore-|/verbenashore/|VERBENASHORE_SETTINGS|target_latency_ms|path_prefix|dead_letter"
@@ -341,6 +342,10 @@
     assert wire.read_configuration(json.dumps(configuration(1)).encode()).workspaces is None
 
 
+#: What stands before, in and after keys that no header can hold.
+UNSENDABLE = [(" ", "", ""), ("", "", " "), ("", "", "\n"), ("", "\0", ""), ("", "\x7f", "")]
+
+
 @pytest.mark.parametrize(
     ("tenants", "word"),
     [
@@ -351,6 +356,7 @@
         ([tenant(api_keys="key-a")], "api_keys"),
         ([tenant(api_keys=["key-a", 7])], "api_keys"),
         ([tenant(api_keys=[""])], "api_keys"),
+        *(([tenant(api_keys=[f"{a}key-{b}x{c}"])], "api_keys") for a, b, c in UNSENDABLE),
         ([tenant(priority="high")], "priority"),
         ([tenant(priority=1 << 70)], "priority"),
         ([tenant(rate_per_s="fast")], "rate_per_s"),
@@ -395,11 +401,49 @@
 
 def test_a_key_is_read_as_documents_write_it():
     """Guards keys with other than ASCII characters, which could never match."""
-    for key in ("clé", "ключ"):
+    for key in ("clé", "ключ", "voilà", "a b"):
+        read_tenants(tenant(api_keys=[key]))
         fields = {"api-key": f" {key} ".encode().decode("latin-1")}
         assert wire.read_origin(Request("GET", "/", "/", {}, fields, b"")).key == key
 
 
+def job_request_status(workspaces, method, query, fields):
+    """Returns the status of a request that names a job, at an entry with a route table."""
+    answers = []
+
+    class Responder:
+        started = False
+
+        async def send_json(self, status, _document, _headers=None):
+            answers.append(status)
+
+    async def end_job(job, workspace):
+        return (job, workspace) == ("j", None)
+
+    async def run():
+        async with gateway() as made:
+            made.finder.routes = RouteIndex(RouteTable(1, workspaces=workspaces))
+            made.end_job = end_job
+            handle_request = importlib.import_module("callers").callers_handler(made, 60.0)
+            path = "/verbenashore/lots/j"
+            await handle_request(Request(method, path, path, query, fields, b""), Responder())
+
+    asyncio.run(run())
+    return answers[0]
+
+
+@pytest.mark.parametrize(("workspaces", "expected"), [(None, 200), ((), 400)])
+def test_the_timeout_of_a_job_request_is_read_only_where_there_are_workspaces(workspaces, expected):
+    """Guards deployments without workspaces, where such requests were served before."""
+    assert job_request_status(workspaces, "DELETE", {}, {wire.DEADLINE_MS: "soon"}) == expected
+
+
+@pytest.mark.parametrize("after", ["²", "٣", "-1", "x", "9" * 5000])
+def test_a_position_that_is_no_number_is_refused(after):
+    """Guards against digits that can't be converted to a number."""
+    assert job_request_status(None, "GET", {"after": after}, {}) == 400
+
+
 def test_keys_among_the_headers_of_items_are_not_stored():
     """Guards keys on the disks of ledger processes."""
     item = {"id": "i", "path": "/", "headers": {"Api-Key": "key-a", "X-Other": "kept"}}
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -6,9 +6,11 @@
 import pytest
 
 from tests.quotafleets import QuotaFleet, bound
+from verbenashore.messages import Member
 from verbenashore.quotas import MAX_RETRY_SECONDS, WorkspaceQuotas, fraction_in_use
 from verbenashore.routing import RouteTable, Workspace
-from verbenashore.usage import MARK, UsageReport, UsageTable, key_of
+from verbenashore.types import MemberRole, MemberState
+from verbenashore.usage import MARK, MAX_RELAYED_KEYS, UsageReport, UsageTable, key_of
 
 LARGE = Workspace("large", (), None, 83.0, 83.0)
 SMALL = Workspace("small", (), None, 4.0, 4.0)
@@ -204,6 +206,28 @@
     assert fraction_in_use(1, 0) == 0
 
 
+@pytest.mark.parametrize(("rate", "burst"), [(0.5, 0.0), (0.1, 0.0), (0.5, 0.5), (1.0, 0.0)])
+@pytest.mark.parametrize("reach", [3, 2])
+def test_a_limit_of_less_than_one_request_lets_one_through_and_then_refuses(rate, burst, reach):
+    """Guards workspaces with a small limit, which were refused for ever."""
+    quotas, table = make_quotas(Workspace("tiny", (), None, rate, burst), entries=reach)
+    table.record(UsageReport("p", 1, 2, reach - 1, 3, 0.0, {}), 0.0)
+    assert quotas.admit("tiny", 0.0) == 0 < quotas.admit("tiny", 0.1)
+
+
+def test_entries_that_were_replaced_under_other_names_lower_the_limits_for_a_minute_only():
+    """Guards against an hour with 0.84 of each limit, while the list stays the same."""
+
+    def listed(names):
+        return [Member(n, "", MemberRole.ENTRY, "", "", "", MemberState.SERVING, 1) for n in names]
+
+    table = UsageTable()
+    table.entry_number.set_members(listed(range(19)), 0.0)
+    table.entry_number.set_members(listed(range(9, 28)), 10.0)
+    assert (table.entries(69.0), table.entries(70.0)) == (28, 19)
+    assert round(fraction_in_use(19, 28), 2) == 0.84
+
+
 def test_a_request_that_did_not_run_makes_room_for_another():
     quotas, _ = make_quotas(SMALL, entries=2)
     admitted = 0
@@ -247,6 +271,20 @@
     assert quotas.admit("small", 0.0) == 0
 
 
+def test_an_entry_that_is_behind_relays_the_counts_of_workspaces_that_it_does_not_know():
+    """Guards a whole limit on each side of it, and reports that grow without bound."""
+    _, table = make_quotas(SMALL)
+    report = UsageReport("q", 1, 1, 1, 3, 0.0, {key_of("large"): (9, 9, 9)})
+    assert table.record(report, 0.0)
+    assert table.relayed("p", {}, 0.0)[2] == {key_of("large"): (9, 9, 9)}
+    many = {n: (1, 1, 1) for n in range(2 * MAX_RELAYED_KEYS)} | {key_of("small"): (1, 1, 1)}
+    assert table.record(UsageReport("r", 1, 1, 1, 3, 0.0, many), 0.0)
+    assert len(table.relayed("p", {}, 0.0)[2]) == MAX_RELAYED_KEYS + 1
+    assert table.counts(key_of("small")) == (1, 1, 1)
+    table.retain((), 0.0)
+    assert not table.relayed("p", {}, 0.0)[2]
+
+
 def test_without_limits_nothing_is_sent_and_everything_admitted():
     free = Workspace("free")
     fleet = QuotaFleet(8, (free,))
