Let items that no server has memory for not hold back others

A job with more than eight items for which no server had memory stopped all other items of its service, of all workspaces: a scheduling pass ended after eight items that were passed over.

Items that need more than any usable server has room for are now passed over by their size. The room is measured once when an item can't start, so the pass costs one choice for all items that are passed over. Items larger than the declared memory wait until their job gives up, since the declared memory may be too low by mistake.

--- a/tests/test_jobrunner.py
+++ b/tests/test_jobrunner.py
@@ -701,3 +701,29 @@
 
 def test_items_go_where_the_free_room_relative_to_speed_and_the_memory_are():
     asyncio.run(choose_servers_for_items())
+
+
+async def start_items_behind_large_ones(sizes):
+    """Returns the tokens of the items that one pass starts at a server of 1,000, 500 in use."""
+    server = BackendEntry("b", "s", "127.0.0.1:1", "d", 8, False)
+    table = ItemJobTable()
+    states = [
+        ItemState(ItemSpec(f"i{n}", "/b/x", [], b"", tokens)) for n, tokens in enumerate(sizes)
+    ]
+    table.job_by_id["j"] = ItemJob("j", "r", "h", 0.0, 18.0, 1e9, 60.0, 3, states)
+    runner = make_runner(table, server, None, Metrics("l", ()), None)
+    runner._dispatcher.memory.install([Service("s", 10, memory_tokens=1000)])
+    runner._load_table.add("b", online=1, tokens=500)
+    started = []
+    runner._start_run = lambda _job, _key, _server, progress: started.append(progress.tokens)
+    choose, chosen = runner._choose_server, []
+    runner._choose_server = lambda *args: chosen.append(args) or choose(*args)
+    runner._start_items("s", [("j", n) for n in range(len(sizes))], 0.0)
+    assert len(chosen) == 1 + len(started), "one choice for all that are passed over"
+    return started
+
+
+def test_items_that_no_server_has_memory_for_do_not_hold_back_others():
+    """Guards against a job of large items that stops all other items of its service."""
+    assert asyncio.run(start_items_behind_large_ones([*range(2000, 900, -10), 100])) == [100]
+    assert asyncio.run(start_items_behind_large_ones([*range(140, 100, -1), 100, 90])) == [100, 90]
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -28,7 +28,7 @@
     RunTiming,
 )
 from verbenashore.itemorder import ItemKey, ItemOrder, urgency_of
-from verbenashore.loadtable import LoadTable
+from verbenashore.loadtable import Load, LoadTable
 from verbenashore.logs import Event
 from verbenashore.metrics import Metrics
 from verbenashore.prober import Prober
@@ -65,8 +65,6 @@
 MAX_SCHEDULING_INTERVAL_SECONDS = 0.02
 #: HTTP status of an item that no attempt can complete.
 IMPOSSIBLE_STATUS = 422
-#: Items that are passed over in one scheduling pass because no server has memory for them now.
-MAX_PASSED_OVER = 8
 #: Kind of observations of the speed of servers that items give.
 ITEMS_LABEL = "items"
 NO_SERVERS: set[BackendName] = set()
@@ -328,9 +326,13 @@
                 self._start_items(service, service_keys, now)
 
     def _start_items(self, service: ServiceName, keys: list[ItemKey], now: float) -> None:
-        """Starts items of a service, in the given order, until no server has a free slot."""
+        """Starts items of a service, in the given order, until no server has a free slot.
+
+        Items for which no server has memory now, or ever, are passed over.  The room is measured
+        once after each start, not for each item.
+        """
         jobs = self._job_table().job_by_id
-        passed_over = 0
+        most_tokens = float("inf")
         for key in keys:
             if not self._is_waiting(key, now):
                 continue
@@ -338,13 +340,15 @@
             progress = self._progress_of(key, job.items[key[1]])
             if self._quarantine.held_part(progress.prompt) is not None:
                 continue
+            if progress.tokens > most_tokens:
+                continue
             server = self._choose_server(service, now, progress.failed_at, progress.tokens)
             if server is not None:
                 self._start_run(job, key, server, progress)
             elif not progress.failed_at:
                 # Another item may need less memory.
-                passed_over += 1
-                if passed_over > MAX_PASSED_OVER or self._choose_server(service, now) is None:
+                most_tokens = min(self._most_tokens(service, now), progress.tokens - 1)
+                if most_tokens < 0:
                     return
 
     def _is_waiting(self, key: ItemKey, now: float) -> bool:
@@ -396,27 +400,44 @@
         """
         best = None
         most_room = 0.0
-        speeds = self._dispatcher.speeds
         if excluded and excluded.issuperset(
             server.name for server in self._directory.accepting_servers(service)
         ):
             excluded.clear()
+        for room, server, total in self._free_servers(service, now):
+            if (
+                room > most_room
+                and server.name not in excluded
+                and self._dispatcher.memory.may_hold_item(service, total, tokens)
+            ):
+                best, most_room = server, room
+        return best
+
+    def _most_tokens(self, service: ServiceName, now: float) -> float:
+        """Returns the tokens of the largest item that may start now; less than 0 if none may."""
+        memory = self._dispatcher.memory
+        rooms = (memory.item_room(service, load) for _, _, load in self._free_servers(service, now))
+        return max(rooms, default=-1)
+
+    def _free_servers(
+        self, service: ServiceName, now: float
+    ) -> Iterator[tuple[float, BackendEntry, Load]]:
+        """Yields the usable servers with free slots beyond the reserved ones, and their load.
+
+        The first number is that of the free slots, less for a slow server.
+        """
+        speeds = self._dispatcher.speeds
         for server in self._dispatcher.candidates(service):
-            if server.name in excluded:
-                continue
             total = self._load_table.total(server.name)
             free = server.slots - RESERVED_SLOTS - total.online - total.batch
             if now < self._yielded_at.get(server.name, float("-inf")) + YIELD_PAUSE_SECONDS:
                 continue
-            room = free / speeds.factor(server.name)
             if (
-                room > most_room
-                and self._dispatcher.memory.may_hold_item(service, total, tokens)
+                free > 0
                 and self._dispatcher.may_use(server.name, now)
                 and self._dispatcher.may_use_in_background(server)
             ):
-                best, most_room = server, room
-        return best
+                yield free / speeds.factor(server.name), server, total
 
     def _start_run(
         self, job: ItemJob, key: ItemKey, server: BackendEntry, progress: Progress
--- a/verbenashore/servermemory.py
+++ b/verbenashore/servermemory.py
@@ -120,12 +120,19 @@
             del self.placed_by_server[server]
         return sum(tokens for _, tokens in placed)
 
-    def may_hold_item(self, service: ServiceName, load: Load, tokens: int) -> bool:
-        """Returns whether an item may start at a server; one member starts all items."""
+    def item_room(self, service: ServiceName, load: Load) -> float:
+        """Returns the most tokens that an item may have to start at a server; less than 0 if none.
+
+        One member starts all items.
+        """
         declared = self._tokens_by_service.get(service)
-        if declared is None or load.tokens + tokens <= declared * ITEM_PART:
-            return True
-        return _is_idle(load) and tokens <= declared
+        if declared is None:
+            return float("inf")
+        return declared if _is_idle(load) else int(declared * ITEM_PART) - load.tokens
+
+    def may_hold_item(self, service: ServiceName, load: Load, tokens: int) -> bool:
+        """Returns whether an item may start at a server."""
+        return tokens <= self.item_room(service, load)
 
 
 def _is_idle(load: Load) -> bool:
