Drop reported numbers of calls that are out of bounds

A member that reported a negative number of calls at a server made math.log raise ValueError in the calls of all other members there.

Reports with fewer than 0 or more than 65,536 calls at a server no longer count for that server, and the share of used slots is bounded where the logarithm is taken. The new test of the speeds fails with that ValueError without the change. tests/test_speeds.py, test_loadtable.py, test_loadtree.py, test_servermemory.py and test_placement.py pass.

--- a/tests/test_loadtable.py
+++ b/tests/test_loadtable.py
@@ -1,8 +1,9 @@
 """A member's report replaces its previous one, and the report of a silent member expires."""
 
 import msgspec
+import pytest
 
-from verbenashore.loadtable import REPORT_SECONDS, Load, LoadTable, Report
+from verbenashore.loadtable import MAX_CALLS, REPORT_SECONDS, Load, LoadTable, Report
 
 
 def report(number, load, incarnation="a"):
@@ -45,6 +46,16 @@
     assert load_table.remote_waiting("notes") == 5 and load_table.remote_waiting("none") == 0
 
 
+@pytest.mark.parametrize("calls", [-1, MAX_CALLS + 1])
+def test_impossible_numbers_of_calls_in_a_report_do_not_count(calls):
+    """Guards against a member that reports a server as full, or as far below idle."""
+    load_table = LoadTable()
+    loads = {"s": Load(calls, 1, tokens=5), "t": Load(1, calls), "u": Load(2, MAX_CALLS)}
+    load_table.record_report(Report("other", "a", 1, loads, relayed_by_backend=loads), 0.0)
+    assert load_table.total("s") == load_table.total("t") == Load()
+    assert load_table.total("u") == Load(4, 2 * MAX_CALLS)
+
+
 class FormerLoad(msgspec.Struct, frozen=True, array_like=True):
     """The load of a server as a member of an earlier build reports and reads it."""
 
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -176,3 +176,10 @@
     member.speeds.set_gauges(metrics)
     gauges = metrics.gauges()
     assert gauges["notes.slowest_factor"] > 3 * gauges["notes.fastest_factor"]
+
+
+def test_a_negative_number_of_calls_does_not_fail_the_calls_of_other_members():
+    member = Member()
+    member.table.add("s0", online=-1000)
+    CallTimer(member.speeds, member.servers[0], "route", 0.0).record_events(1, FIRST)
+    assert member.speeds.first_seconds(member.servers[0].service) == FIRST
--- a/verbenashore/loadtable.py
+++ b/verbenashore/loadtable.py
@@ -16,6 +16,8 @@
 #: All members together observe up to 30 units for each slot of a server.
 MAX_OBSERVED = 4096
 MAX_SLOWNESS = 20
+#: Largest ``online`` and ``batch`` that one report may state for a server; more than any has slots.
+MAX_CALLS = 1 << 16
 #: Largest ``tokens`` that one report may state for a server; more than any server's memory holds.
 MAX_TOKENS = 1 << 30
 #: Seconds without a report after which the calls that a member passed on no longer count.  Short,
@@ -269,9 +271,10 @@
 
 
 def _bounded(report: Report) -> Report:
-    """Returns a report without observations and tokens out of bounds, which would distort all sums.
+    """Returns a report without values out of bounds, which would distort all sums.
 
-    Such a server counts as not observed by the sender, and its calls there as small.
+    A server with such numbers of calls counts as not reported.  One with such observations or
+    tokens counts as not observed by the sender, and its calls there as small.
     """
     if all(
         _is_valid(load)
@@ -294,12 +297,18 @@
             else msgspec.structs.replace(load, observed=0, slowness=0, tokens=0)
         )
         for backend, load in by_backend.items()
+        if _has_valid_calls(load)
     }
 
 
+def _has_valid_calls(load: Load) -> bool:
+    return 0 <= load.online <= MAX_CALLS and 0 <= load.batch <= MAX_CALLS
+
+
 def _is_valid(load: Load) -> bool:
     return (
-        0 <= load.observed <= MAX_OBSERVED
+        _has_valid_calls(load)
+        and 0 <= load.observed <= MAX_OBSERVED
         and abs(load.slowness) <= MAX_SLOWNESS * load.observed
         and 0 <= load.tokens <= MAX_TOKENS
     )
--- a/verbenashore/speeds.py
+++ b/verbenashore/speeds.py
@@ -139,7 +139,9 @@
         if seconds <= 0 or server.slots <= 0:
             return
         load = self._load_table.total(server.name)
-        slowdown = 1 + LOAD_SLOWDOWN * min(1.0, (load.online + load.batch) / server.slots)
+        # The reports of other members may add up to a negative number of calls.
+        share = max(0.0, min(1.0, (load.online + load.batch) / server.slots))
+        slowdown = 1 + LOAD_SLOWDOWN * share
         factor = self.factor(server.name)
         log = math.log(seconds / count / slowdown)
         weight = min(seconds, MAX_OBSERVATION_SECONDS)
