Compute the size of a call once, and bound it

The tokens of a call were summed at each attempt to place it, over as many segments as its caller states. Where no memory is declared, stated tokens still entered the load reports, and a report above the bound loses the tokens of all calls of its sender at that server.

The sum is computed when the headers are read, only 16 segments are kept, which is as many as were looked at, and a call or item counts for at most 16,777,216 tokens, a 64th of what a report may state.

--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -2,12 +2,20 @@
 
 import sys
 from collections import Counter
+from types import MemberDescriptorType
 
 from tests.test_dispatch import make_dispatcher, make_servers, make_ticket
 from verbenashore import prefixes
 from verbenashore.dispatch import FailureKind
-from verbenashore.loadtable import Load, LoadTable, Report
-from verbenashore.prefixes import CACHE_SECONDS, MAX_SEGMENTS, MAX_SERVERS, PromptSize, SentPrefixes
+from verbenashore.loadtable import MAX_TOKENS, Load, LoadTable, Report
+from verbenashore.prefixes import (
+    CACHE_SECONDS,
+    MAX_PROMPT_SEGMENTS,
+    MAX_SEGMENTS,
+    MAX_SERVERS,
+    PromptSize,
+    SentPrefixes,
+)
 
 
 def size(*segments, tokens=200):
@@ -29,6 +37,20 @@
     assert sent.cached_tokens(size("a"), CACHE_SECONDS + 0.1) == {}
 
 
+def test_the_size_of_a_prompt_of_many_segments_is_bounded_and_computed_once():
+    """Guards against callers whose segments are summed at each attempt to place a call."""
+    large = PromptSize(("a",) * 4000, (200,) * 4000, 100, 50)
+    assert large.tokens == 4000 * 200 + 50
+    assert len(large.segments) == len(large.segment_tokens) == MAX_PROMPT_SEGMENTS
+    assert isinstance(PromptSize.tokens, MemberDescriptorType), "a field, not a sum"
+
+
+def test_stated_tokens_of_many_calls_stay_within_the_bounds_of_a_report():
+    """Guards the tokens of a server's other calls, which don't count if a report is invalid."""
+    most = PromptSize(prompt=999_999_999, output=999_999_999).tokens
+    assert 64 * most <= MAX_TOKENS
+
+
 def test_a_server_that_restarts_under_its_name_has_nothing_cached():
     dispatcher = make_dispatcher(make_servers(2))
     dispatcher.prefixes.record(size("a"), "s0", 1.0)
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -31,6 +31,7 @@
 from verbenashore.loadtable import Load, LoadTable
 from verbenashore.logs import Event
 from verbenashore.metrics import Metrics
+from verbenashore.prefixes import MAX_CALL_TOKENS
 from verbenashore.prober import Prober
 from verbenashore.quarantine import Quarantine
 from verbenashore.routing import RouteIndex
@@ -371,7 +372,8 @@
                 item.events,
                 last_event=item.last_event,
                 prompt=self._dialect.read_prompt(headers),
-                tokens=self._dialect.read_size(headers).tokens or item.spec.tokens,
+                tokens=self._dialect.read_size(headers).tokens
+                or min(MAX_CALL_TOKENS, item.spec.tokens),
             )
             self._progress_by_key[key] = progress
         return progress
--- a/verbenashore/prefixes.py
+++ b/verbenashore/prefixes.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from verbenashore.loadtable import MAX_TOKENS
 from verbenashore.types import BackendName, Prompt
 
 #: Tokens of prompts that a server of mean speed processes in a second.
@@ -25,28 +26,40 @@
 #: Seconds after which a segment that wasn't sent again may have been evicted: in which some 3,000
 #: tokens a second, prompts and answers, fill a server's memory of 72,000.
 CACHE_SECONDS = 20.0
-#: Most segments of a prompt that are looked at.
+#: Most segments of a prompt that are kept.
 MAX_PROMPT_SEGMENTS = 16
+#: Most tokens that a call or item counts for.  More than any server has memory for, so that a
+#: larger call is refused all the same; 64 of them are within the bounds of a load report.
+MAX_CALL_TOKENS = MAX_TOKENS // 64
 
 
 class PromptSize(msgspec.Struct, frozen=True):
     """How large a call is, as its caller states it; all numbers are 0 if it states nothing.
 
+    Only the first ``MAX_PROMPT_SEGMENTS`` segments are kept; all of them count for ``tokens``.
+
     :param segments: the segments of the prompt, in order.
     :param segment_tokens: the tokens of each of them.
     :param prompt: the tokens of the whole prompt.
     :param output: the tokens that the answer is expected to have.
+    :param tokens: the tokens for which a server needs memory; computed from the others.
     """
 
     segments: Prompt = ()
     segment_tokens: tuple[int, ...] = ()
     prompt: int = 0
     output: int = 0
+    tokens: int = 0
 
-    @property
-    def tokens(self) -> int:
-        """The tokens for which a server needs memory."""
-        return max(self.prompt, sum(self.segment_tokens)) + self.output
+    def __post_init__(self) -> None:
+        stated = max(self.prompt, sum(self.segment_tokens)) + self.output
+        msgspec.structs.force_setattr(self, "tokens", min(MAX_CALL_TOKENS, stated))
+        if len(self.segments) > MAX_PROMPT_SEGMENTS:
+            kept = self.segments[:MAX_PROMPT_SEGMENTS]
+            msgspec.structs.force_setattr(self, "segments", kept)
+        if len(self.segment_tokens) > MAX_PROMPT_SEGMENTS:
+            kept_tokens = self.segment_tokens[:MAX_PROMPT_SEGMENTS]
+            msgspec.structs.force_setattr(self, "segment_tokens", kept_tokens)
 
 
 NO_SIZE = PromptSize()
@@ -106,9 +119,7 @@
     """Returns a key for each segment with those before it, and their tokens together."""
     key = total = 0
     keys = []
-    for segment, tokens in zip(
-        size.segments[:MAX_PROMPT_SEGMENTS], size.segment_tokens, strict=False
-    ):
+    for segment, tokens in zip(size.segments, size.segment_tokens, strict=False):
         key = hash((key, segment))
         total += tokens
         keys.append((key, total))
