Keep cleared prompt caches of listed servers only

Servers that other members reported as unreachable were recorded as having lost their cache although they weren't in the list. Names that are never listed are never dropped, so the memory for them grew with each new one.

The cache is cleared for listed servers only. The new test fails without the change; tests/test_prefixes.py, test_dispatch.py and test_placement.py pass.

--- a/tests/test_prefixes.py
+++ b/tests/test_prefixes.py
@@ -62,6 +62,14 @@
     assert dispatcher.prefixes.cached_tokens(size("a"), 5.0) == {}
 
 
+def test_reported_servers_that_are_not_listed_take_no_memory():
+    """Guards against reports of ever new names."""
+    dispatcher = make_dispatcher(make_servers(1))
+    for name in ("s0", "unlisted"):
+        dispatcher.record_failure(name, FailureKind.REPORTED, 1.0)
+    assert dispatcher.prefixes._valid_since == {"s0": 1.0}
+
+
 def test_memory_is_bounded_and_the_least_recent_segments_go_first(monkeypatch):
     monkeypatch.setattr(prefixes, "MAX_SEGMENTS", 100)
     sent = SentPrefixes()
--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -275,9 +275,11 @@
         member's report about a server that is already suspected is ignored, and so is the failure
         of a call that outlasted the server's entry in the list.
         """
-        if kind is not FailureKind.REPORTED and name not in self._directory.by_name:
+        is_listed = name in self._directory.by_name
+        if kind is not FailureKind.REPORTED and not is_listed:
             return False
-        if kind is not FailureKind.SILENT:
+        # Other names are never dropped by ``forget``.
+        if kind is not FailureKind.SILENT and is_listed:
             self.prefixes.clear(name, now)
         health = self._health_by_name.setdefault(name, Health())
         if kind is FailureKind.REPORTED and health.suspected:
