Refuse calls that need an idle server at once while there is none

Calls of more than some 0.63 of the declared memory go to an idle server only, but were queued by the expected wait for a slot. They waited until their deadline, and were then refused with the shortest Retry-After.

They are refused on arrival with the longest Retry-After, 1.6 s, if no server that may take them is idle. Calls on their last attempt, or that have begun, still wait, since they have no other chance; so do those of an entry that places alone, which may use all of the free memory.

--- a/tests/test_servermemory.py
+++ b/tests/test_servermemory.py
@@ -5,7 +5,7 @@
 from tests.loadtrees import Fleet
 from tests.test_dispatch import make_dispatcher, make_servers, make_ticket
 from verbenashore.directory import Directory
-from verbenashore.dispatch import Dispatcher, Verdict
+from verbenashore.dispatch import MAX_RETRY_SECONDS, Dispatcher, Verdict
 from verbenashore.loadtable import MAX_TOKENS, Load, LoadTable, Report
 from verbenashore.prefixes import PromptSize
 from verbenashore.routing import Service
@@ -72,6 +72,22 @@
     assert len(granted) >= 2
 
 
+def test_a_call_that_needs_an_idle_server_is_refused_at_once_if_there_is_none():
+    """Guards against calls that wait in vain, and are told to come back within 0.2 s."""
+    table = LoadTable()
+    dispatcher = declare(make_dispatcher(make_servers(2, slots=8), table))
+    table.add("s0", online=1, tokens=700)
+    assert dispatcher.request(sized("one idle", 50_000), 0.0).verdict is not Verdict.REFUSED
+    table.add("s1", online=1, tokens=700)
+    refused = dispatcher.request(sized("none", 50_000), 0.0)
+    assert (refused.verdict, refused.retry_after) == (Verdict.REFUSED, MAX_RETRY_SECONDS)
+    last = dispatcher.request(sized("last attempt", 50_000, accepts_late=True), 0.0)
+    assert last.verdict is Verdict.WAITING, "it gets no other chance"
+    assert dispatcher.request(sized("smaller", 40_000), 0.0).verdict is not Verdict.REFUSED
+    declare(dispatcher, members=1)
+    assert dispatcher.request(sized("alone", 50_000), 0.0).verdict is Verdict.GRANTED
+
+
 def test_a_large_call_does_not_keep_small_ones_waiting():
     table = LoadTable()
     table.record_report(Report("other", "i", 1, {"s0": Load(1, tokens=40_000)}), 0.0)
--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -17,7 +17,7 @@
 from verbenashore.loadtable import Load, LoadTable
 from verbenashore.prefixes import NO_SIZE, PromptSize, SentPrefixes
 from verbenashore.ratelimits import RateLimits
-from verbenashore.servermemory import ServerMemory
+from verbenashore.servermemory import ServerMemory, is_idle
 from verbenashore.speeds import Speeds
 from verbenashore.types import BackendName, Rank, ServiceName, WorkspaceId
 
@@ -212,6 +212,8 @@
             return self._grant(server, ticket, now)
         if not self._has_candidate(ticket):
             return Decision(Verdict.REFUSED, None, MAX_RETRY_SECONDS, "no server")
+        if not ticket.accepts_late and self._lacks_memory(ticket):
+            return Decision(Verdict.REFUSED, None, MAX_RETRY_SECONDS, "no idle server")
         wait = self.expected_wait(ticket.service, ticket, now)
         if now + wait > (ticket.hard_deadline if ticket.accepts_late else ticket.soft_deadline):
             is_limited = self._lost_rate(ticket.service) > 0
@@ -523,6 +525,17 @@
             for server in self._directory.accepting_servers(ticket.service)
         )
 
+    def _lacks_memory(self, ticket: Ticket) -> bool:
+        """Returns whether a call needs an idle server, and there is none.
+
+        Busy servers seldom become idle, and the expected wait is that for a slot.
+        """
+        return self.memory.needs_idle(ticket.service, ticket.size.tokens) and not any(
+            is_idle(self._load_table.total(server.name))
+            for server in self.candidates(ticket.service)
+            if server.name not in ticket.excluded
+        )
+
     def _in_order(self, now: float) -> list[Ticket]:
         """Returns the queued tickets in the order in which they get slots."""
         if self._fair_shares is not None:
--- a/verbenashore/servermemory.py
+++ b/verbenashore/servermemory.py
@@ -3,8 +3,9 @@
 A server has memory for the tokens of its calls, prompts and answers, and crashes if they exceed
 it.  The load reports add up the tokens of the calls in progress, but are some exchanges old:
 members that place at the same moment don't know of each other's calls.  A call that would fit if
-every member placed one like it, as far as the server's slots allow, may go at once.  A larger one, or one at a server that is nearly
-full, may go with a small chance only, so that members seldom do so within the age of a report.
+every member placed one like it, as far as the server's slots allow, may go at once.  A larger one,
+or one at a server that is nearly full, may go with a small chance only, so that members seldom do
+so within the age of a report.
 
 It is made for 25 members, and servers of 72,000 tokens that run 8 calls of 500 to 5,000 tokens.
 """
@@ -76,6 +77,13 @@
         declared = self._tokens_by_service.get(service)
         return declared is None or tokens <= declared
 
+    def needs_idle(self, service: ServiceName, tokens: int) -> bool:
+        """Returns whether a call is so large that it may only go to an idle server."""
+        declared = self._tokens_by_service.get(service)
+        # A member that places alone knows of all calls, and may use all of the free memory.
+        part = LARGE_PART if self.members > 1 else 1.0
+        return declared is not None and tokens > declared * USED_PART * part
+
     def most_tokens(self, service: ServiceName, tokens: int) -> float:
         """Returns the tokens in use at a server up to which any member may send it a call at once.
 
@@ -99,7 +107,7 @@
         members = min(self.members, MEMBERS_PER_SLOT * server.slots)
         if (unknown + tokens) * members <= room + unknown:
             return True
-        if tokens > room * LARGE_PART and not (_is_idle(load) and tokens <= declared):
+        if tokens > room * LARGE_PART and not (is_idle(load) and tokens <= declared):
             return False
         chance = min(LARGE_CHANCE, 1 / members) * share
         return members == 1 or self._random.random() < chance
@@ -128,12 +136,13 @@
         declared = self._tokens_by_service.get(service)
         if declared is None:
             return float("inf")
-        return declared if _is_idle(load) else int(declared * ITEM_PART) - load.tokens
+        return declared if is_idle(load) else int(declared * ITEM_PART) - load.tokens
 
     def may_hold_item(self, service: ServiceName, load: Load, tokens: int) -> bool:
         """Returns whether an item may start at a server."""
         return tokens <= self.item_room(service, load)
 
 
-def _is_idle(load: Load) -> bool:
+def is_idle(load: Load) -> bool:
+    """Returns whether a server has no calls, as far as is known."""
     return not load.online and not load.batch and not load.tokens
