Stop counting connections whose last answer was read after their close

Each connection that closed with bytes of its answer still buffered kept its place in the budget, in a state that is never evicted, until callers were refused for want of descriptors.

_flush aborted the transport also after it had closed. A transport that has sent its buffer after close() has no loop, so abort() raised AttributeError, and the account was not closed. It is aborted only after a timeout or cancellation while bytes are buffered, and the account is closed whatever happens before.

--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -178,3 +178,38 @@
     room = limits.budget.add_group().descriptor_limit
     answers = asyncio.run(exchange_with_limits(b"", limits, count=room + 3))
     assert sum(answer.startswith(b"HTTP/1.1 503") for answer in answers) == 3
+
+
+def test_a_connection_whose_answer_is_read_late_is_not_counted_any_longer():
+    """Guards against accounts that stay after their connections, and take all descriptors."""
+
+    async def handle(_request, respond):
+        await respond.start_stream_with_headers(200, [("connection", "close")])
+        while not respond._writer.transport.get_write_buffer_size():
+            await respond.send_chunk(b"x" * 8192)
+        await respond.end_stream()
+
+    async def run():
+        listener = open_listener("127.0.0.1:0")
+        stopping = asyncio.Event()
+        serving = asyncio.create_task(
+            httpserver.serve(listener, handle, stopping, server_limits=limits)
+        )
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.connect(listener.getsockname())
+            caller.setblocking(False)
+            await asyncio.get_running_loop().sock_sendall(caller, REQUEST)
+            await asyncio.sleep(0.1)
+            received = b""
+            while part := await asyncio.get_running_loop().sock_recv(caller, 4096):
+                received += part
+        await asyncio.sleep(0.05)
+        connections = limits.budget.connections
+        stopping.set()
+        await serving
+        return received, connections
+
+    limits = ServerLimits(CallerLimits(), Budget())
+    received, connections = asyncio.run(run())
+    assert received.endswith(b"0\r\n\r\n") and connections == 0
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -305,14 +305,16 @@
             pass
         finally:
             connections.discard(connection)
-            if connection.broke_off_unframed:
-                _reset(writer)
-            writer.close()
-            if writer.transport.get_write_buffer_size():
-                seconds = STOP_FLUSH_SECONDS if stopping.is_set() else FLUSH_SECONDS
-                await _flush(writer, seconds)
-            budget.close(connection.account)
-            tasks.discard(task)
+            try:
+                if connection.broke_off_unframed:
+                    _reset(writer)
+                writer.close()
+                if writer.transport.get_write_buffer_size():
+                    seconds = STOP_FLUSH_SECONDS if stopping.is_set() else FLUSH_SECONDS
+                    await _flush(writer, seconds)
+            finally:
+                budget.close(connection.account)
+                tasks.discard(task)
 
     async def serve_queued(caller: socket.socket) -> None:
         await serve_connection(*await asyncio.open_connection(sock=caller, limit=READ_BYTES))
@@ -354,11 +356,16 @@
 async def _flush(writer: asyncio.StreamWriter, seconds: float) -> None:
     """Waits until the caller has read what is buffered, and breaks the connection if it doesn't."""
     try:
-        with contextlib.suppress(TimeoutError, OSError):
-            async with asyncio.timeout(seconds):
-                await writer.wait_closed()
-    finally:
-        writer.transport.abort()
+        async with asyncio.timeout(seconds):
+            await writer.wait_closed()
+    except (TimeoutError, asyncio.CancelledError) as error:
+        # A transport that has closed after sending all can't be aborted.
+        if writer.transport.get_write_buffer_size():
+            writer.transport.abort()
+        if isinstance(error, asyncio.CancelledError):
+            raise
+    except OSError:
+        pass  # The caller has closed it.
 
 
 def _accept_all(listener: socket.socket) -> Iterator[socket.socket]:
