Keep the requests in progress when an accept fails at a stop

At a stop, one accept that failed, for want of a descriptor for example, cancelled every request in progress: only BlockingIOError was expected, and another error ended serve(). Any OSError ends the accepting now.

--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,6 +1,7 @@
 """Requests at the moment when a server stops, broken responses, and requests beyond its limits."""
 
 import asyncio
+import errno
 import json
 import socket
 
@@ -213,3 +214,19 @@
     limits = ServerLimits(CallerLimits(), Budget())
     received, connections = asyncio.run(run())
     assert received.endswith(b"0\r\n\r\n") and connections == 0
+
+
+def test_a_failed_accept_at_a_stop_leaves_the_connections_accepted_before():
+    """Guards against a stop that cancels all requests in progress for want of a descriptor."""
+
+    class Listener:
+        def __init__(self):
+            self.results = [("caller", "address"), OSError(errno.EMFILE, "too many open files")]
+
+        def accept(self):
+            result = self.results.pop(0)
+            if isinstance(result, OSError):
+                raise result
+            return result
+
+    assert list(httpserver._accept_all(Listener())) == ["caller"]
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -370,7 +370,8 @@
 
 def _accept_all(listener: socket.socket) -> Iterator[socket.socket]:
     """Yields the connections that the kernel has queued for a non-blocking listening socket."""
-    with contextlib.suppress(BlockingIOError):
+    # Without a descriptor, say, the rest is lost, but not the requests that are in progress.
+    with contextlib.suppress(OSError):
         while True:
             yield listener.accept()[0]
 
