Limit searches for connections to close by group and kind

A search that found no connection to close blocked all others for 50 ms, so a new caller was refused although idle connections could have been closed, since a request for memory or a page server had searched in vain just before. The time of the next search is kept for each group and kind of search.

The new test fails without the change and passes with it; test_httpserver and test_budget: 27 passed.

--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -172,3 +172,17 @@
     clients.now = REPORT_SECONDS
     clients.budget.report(Limit.MEMORY)
     assert clients.reports == [(Limit.MEMORY, 1), (Limit.MEMORY, 100)]
+
+
+def test_a_search_in_vain_does_not_delay_searches_among_other_connections():
+    """Guards callers who are refused since a page or a request for memory found nothing."""
+    clients = Clients()
+    clients.fill()
+    clients.open("last")
+    clients.now = 1.0
+    probe = clients.open("probe", clients.pages)
+    clients.budget.make_room(probe)
+    while clients.open("probe", clients.pages):
+        pass
+    assert not clients.closed
+    assert clients.open("new") and clients.closed
--- a/verbenashore/budget.py
+++ b/verbenashore/budget.py
@@ -8,8 +8,8 @@
 
 *Load*: 1,638 to 10,250 descriptors, 128 to 440 MB, and clients that open as many connections as
 they can, send bodies and requests as fast as they can, and read nothing.  An ordinary request costs
-some additions; only where a limit is reached are all connections looked at, at most every
-``SEARCH_SECONDS``.
+some additions; only where a limit is reached are all connections looked at, in vain at most
+every ``SEARCH_SECONDS`` for each group and kind of search.
 """
 
 import contextlib
@@ -173,7 +173,7 @@
         self._running = 0
         self._waiting = 0
         self._lingering = 0
-        self._search_at = float("-inf")
+        self._search_at_by_scope: dict[tuple[Group | None, bool], float] = {}
         self._report_at_by_limit: dict[Limit, float] = {}
         self._unreported: Counter[Limit] = Counter()
 
@@ -348,7 +348,9 @@
     ) -> bool:
         """Closes some connections, of a group or of any, that nothing depends on."""
         now = self.clock()
-        if now < self._search_at:
+        # A search in vain among some connections says nothing about others.
+        scope = (group, stalled_only)
+        if now < self._search_at_by_scope.get(scope, float("-inf")):
             return False
         greedy_peer = self._greedy_peer()
         ranked = (
@@ -361,7 +363,7 @@
         )
         chosen = heapq.nsmallest(EVICTION_COUNT, ranked)
         if not chosen:
-            self._search_at = now + SEARCH_SECONDS
+            self._search_at_by_scope[scope] = now + SEARCH_SECONDS
         for rank, _, account in chosen:
             if rank[0] > chosen[0][0][0]:
                 break
