Close slow clients of a page earlier to make room for probes

64 connections that sent their heads slowly took the readiness page down: they are all that a page server may have, and were closed for another one only after 5 s, while a probe needs an answer sooner. A connection of a page server that has not sent its request may be closed after 0.5 s; a probe's head is a packet.

The new test fails without the change and passes with it; test_httpserver and test_budget: 28 passed.

--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -5,7 +5,9 @@
 from verbenashore.budget import (
     CONNECTION_BYTES,
     PAGE_DESCRIPTORS,
+    PAGE_STALLED_SECONDS,
     REPORT_SECONDS,
+    SEARCH_SECONDS,
     STALLED_SECONDS,
     Account,
     Budget,
@@ -186,3 +188,17 @@
         pass
     assert not clients.closed
     assert clients.open("new") and clients.closed
+
+
+def test_slow_clients_of_a_page_make_room_for_a_probe_after_half_a_second():
+    """Guards against an instance that is taken out of service since its page does not answer."""
+    clients = Clients()
+    caller = clients.open()
+    clients.budget.set_state(caller, ClientState.RECEIVING)
+    while slow := clients.open("slow", clients.pages):
+        clients.budget.set_state(slow, ClientState.RECEIVING)
+    clients.now = PAGE_STALLED_SECONDS * 0.9
+    assert clients.open("probe", clients.pages) is None
+    clients.now = PAGE_STALLED_SECONDS * 1.1 + SEARCH_SECONDS
+    assert clients.open("probe", clients.pages)
+    assert clients.closed and caller not in clients.closed
--- a/verbenashore/budget.py
+++ b/verbenashore/budget.py
@@ -65,6 +65,8 @@
 #: Seconds after which a connection that has not sent its request, or has read nothing of its
 #: answer, may be closed to make room.
 STALLED_SECONDS = 5.0
+#: The same for one of a page that has not sent its request: the head of a probe is one packet.
+PAGE_STALLED_SECONDS = 0.5
 #: Shortest time in seconds between two searches that found no connection to close.
 SEARCH_SECONDS = 0.05
 #: Shortest time in seconds between two reports of the same limit.
@@ -390,6 +392,8 @@
         if age >= account.idle_seconds * IDLE_SHARE:
             return (1, 0, -age)
         return (2, account.requests, -age) if account.peer == greedy_peer else ()
-    if account.state is ClientState.RUNNING or age < STALLED_SECONDS:
+    is_probe = account.group.is_page and account.state is ClientState.RECEIVING
+    stalled_seconds = PAGE_STALLED_SECONDS if is_probe else STALLED_SECONDS
+    if account.state is ClientState.RUNNING or age < stalled_seconds:
         return ()
     return (3, 0, -age)
