Let a client that pipelines too much read its last answer

A client whose pipelined requests there was no room for lost the answer to the last one that was served: the connection was closed with bytes unread, and the reset destroyed it. The answer carries "connection: close", after which h11 is in MUST_CLOSE, and the connection was closed before the check that lets it be read on. That check comes first now, for an answer that is complete.

The new test fails without the change and passes with it; test_httpserver and test_budget: 29 passed.

--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -230,3 +230,19 @@
             return result
 
     assert list(httpserver._accept_all(Listener())) == ["caller"]
+
+
+def test_a_client_that_pipelines_too_much_reads_its_last_answer():
+    """Guards against a reset that destroys the answer before the client has read it."""
+
+    async def handle(_request, respond):
+        await asyncio.sleep(0.1)
+        await respond.send_response(200, "text/plain", b"whole")
+
+    budget = Budget(memory_mb=128)
+    other = Account(budget.add_group(), "a", lambda: None, 0.0, 15.0)
+    budget.hold(other, int(budget.memory_limit * 0.9))
+    limits = ServerLimits(CallerLimits(), budget)
+    (answer,) = asyncio.run(exchange_with_limits(REQUEST * 50_000, limits, handle))
+    assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"whole")
+    assert answer.count(b"whole") == 1 and b"connection: close" in answer.lower()
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -463,13 +463,13 @@
                 self._budget.end_request(self.account)
                 self._budget.release(self.account)
             self.busy = False
-            if self._connection.our_state is not h11.DONE:
-                return
-            if self._connection.their_state is not h11.DONE:
-                return
-            if self._pipelines_too_much:
+            our_state = self._connection.our_state
+            # An answer with "connection: close" ends in MUST_CLOSE.
+            if self._pipelines_too_much and our_state in (h11.DONE, h11.MUST_CLOSE):
                 await self._linger()
                 return
+            if our_state is not h11.DONE or self._connection.their_state is not h11.DONE:
+                return
             self._connection.start_next_cycle()
 
     async def refuse(self) -> None:
