Stop waiting for requests that are still received 2.25 s after a stop

A stop waited up to 60 s, the time that a body may take, for a client that sent it slowly, and the process was killed at the end of its grace along with the requests that ran. A connection that receives counts as busy. 2 s after the last requests are taken, connections that still receive are cancelled; nothing has run for them.

--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -246,3 +246,40 @@
     (answer,) = asyncio.run(exchange_with_limits(REQUEST * 50_000, limits, handle))
     assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(b"whole")
     assert answer.count(b"whole") == 1 and b"connection: close" in answer.lower()
+
+
+def test_a_stop_does_not_wait_for_a_client_that_trickles_its_request(monkeypatch):
+    """Guards against a stop that takes as long as a body may, and is cut off by its grace."""
+    monkeypatch.setattr(httpserver, "LAST_BODY_SECONDS", 0.2)
+
+    async def run():
+        listener = open_listener("127.0.0.1:0")
+        stopping = asyncio.Event()
+        serving = asyncio.create_task(httpserver.serve(listener, None, stopping))
+        await asyncio.sleep(0.05)
+        with socket.create_connection(listener.getsockname()) as caller:
+            caller.sendall(b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 10\r\n\r\nx")
+            stopping.set()
+            await asyncio.wait_for(serving, 2.0)
+
+    asyncio.run(run())
+
+
+def test_a_stop_waits_for_a_request_that_runs_longer_than_a_body_may_take(monkeypatch):
+    monkeypatch.setattr(httpserver, "LAST_BODY_SECONDS", 0.1)
+
+    async def handle(_request, respond):
+        await asyncio.sleep(0.8)
+        await respond.send_response(200, "text/plain", b"whole")
+
+    async def run():
+        listener = open_listener("127.0.0.1:0")
+        stopping = asyncio.Event()
+        serving = asyncio.create_task(httpserver.serve(listener, handle, stopping))
+        caller = await connect_and_send(listener)
+        stopping.set()
+        await serving
+        return caller
+
+    with asyncio.run(run()) as caller:
+        assert caller.recv(4096).endswith(b"whole")
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -71,6 +71,9 @@
 ACCEPT_COUNT = 16
 #: Seconds after a stop in which requests that were on their way are still received.
 LAST_REQUEST_SECONDS = 0.25
+#: Seconds after that in which the rest of such a request must be received.  A process has 8 s for
+#: its stop, in which requests that run must end as well.
+LAST_BODY_SECONDS = 2.0
 NO_HEADERS: Mapping[str, str] = {}
 #: The answer to a connection that there is no room for.
 REFUSAL = (
@@ -338,6 +341,12 @@
         for connection in list(connections):
             if not connection.busy:
                 connection.task.cancel()
+        if tasks:
+            await asyncio.wait(tasks, timeout=LAST_BODY_SECONDS)
+        for connection in list(connections):
+            # Nothing has run for them.
+            if connection.account.state is ClientState.RECEIVING:
+                connection.task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
     finally:
         queue.close()
