Bound the time of each part of a long answer, not of all

A long answer was broken off after 20 s, however steadily its client read it. The write timeout was set around all its parts, although each part has it as well.

--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -5,10 +5,12 @@
 import json
 import socket
 
+import h11
 import pytest
 
 from verbenashore import httpserver
 from verbenashore.budget import Account, Budget
+from verbenashore.exceptions import ClientTimeoutError
 from verbenashore.httpserver import ServerLimits
 from verbenashore.listener import open_listener
 from verbenashore.routing import CallerLimits
@@ -283,3 +285,48 @@
 
     with asyncio.run(run()) as caller:
         assert caller.recv(4096).endswith(b"whole")
+
+
+class SlowWriter:
+    """A writer whose reader takes some time for each part, and all are buffered until then.
+
+    :param written: the bytes so far.
+    """
+
+    def __init__(self, seconds):
+        self.transport = self
+        self.written = b""
+        self._seconds = seconds
+
+    def get_write_buffer_size(self):
+        return 1
+
+    def write(self, data):
+        self.written += data
+
+    async def drain(self):
+        await asyncio.sleep(self._seconds)
+
+
+@pytest.mark.parametrize("seconds", [0.05, 0.5])
+def test_a_long_answer_that_is_read_steadily_is_sent_as_a_whole(monkeypatch, seconds):
+    """Guards against an answer broken off by a time for all of it; one not read still is."""
+    monkeypatch.setattr(httpserver, "WRITE_TIMEOUT_SECONDS", 0.2)
+    budget = Budget()
+    account = Account(budget.add_group(), "a", lambda: None, 0.0, 15.0)
+    connection = h11.Connection(h11.SERVER)
+    connection.receive_data(REQUEST)
+    connection.next_event()
+    writer = SlowWriter(seconds)
+    body = b"x" * (8 * httpserver.WRITE_BYTES)
+
+    async def run():
+        respond = httpserver.Responder(connection, writer, asyncio.Event(), budget, account)
+        await respond.send_response(200, "text/plain", body)
+
+    if seconds > httpserver.WRITE_TIMEOUT_SECONDS:
+        with pytest.raises(ClientTimeoutError):
+            asyncio.run(run())
+    else:
+        asyncio.run(run())
+        assert writer.written.endswith(body)
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -35,7 +35,8 @@
 
 #: Seconds in which a whole request body must be received.
 BODY_TIMEOUT_SECONDS = 60.0
-#: Seconds for which a write waits for the caller to read, once the send buffer is full.
+#: Seconds for which a write waits for the caller to read, once the send buffer is full; a long
+#: answer may take as many for each of its parts.
 WRITE_TIMEOUT_SECONDS = 20.0
 READ_BYTES = misc.TURN_BYTES
 #: Bytes that are written at a time, and that may be buffered before a write waits for the caller.
@@ -170,8 +171,7 @@
         self.body_bytes = len(body)
         # Released with the request.
         self._budget.hold(self._account, len(body))
-        sending = self._send_in_parts(head, body)
-        await misc.with_timeout(WRITE_TIMEOUT_SECONDS, sending, _unread_error())
+        await self._send_in_parts(head, body)
 
     async def _send_in_parts(self, head: h11.Response, body: bytes) -> None:
         """Writes a long response without a copy of all of it in the buffer of the connection."""
