Count an upload as stalled only while little of it arrives

A client that sent a long body slowly but steadily was disconnected after 5 s whenever another one needed room: a connection counted as stalled from its head on. The time is taken anew with each 64 KiB of the body.

--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -9,7 +9,7 @@
 import pytest
 
 from verbenashore import httpserver
-from verbenashore.budget import Account, Budget
+from verbenashore.budget import STALLED_SECONDS, Account, Budget
 from verbenashore.exceptions import ClientTimeoutError
 from verbenashore.httpserver import ServerLimits
 from verbenashore.listener import open_listener
@@ -330,3 +330,38 @@
     else:
         asyncio.run(run())
         assert writer.written.endswith(body)
+
+
+def test_a_slow_but_steady_upload_is_not_closed_for_want_of_room():
+    """Guards against a body that counts as stalled since its head was received."""
+    now = 0.0
+    budget = Budget(clock=lambda: now)
+    newcomer = Account(budget.add_group(), "a", lambda: None, 0.0, 15.0)
+    body = b"x" * 300_000
+
+    async def handle(request, respond):
+        await respond.send_response(200, "text/plain", str(len(request.body)).encode())
+
+    async def run():
+        nonlocal now
+        listener = open_listener("127.0.0.1:0")
+        stopping = asyncio.Event()
+        limits = ServerLimits(CallerLimits(), budget)
+        serving = asyncio.create_task(
+            httpserver.serve(listener, handle, stopping, server_limits=limits)
+        )
+        reader, writer = await asyncio.open_connection(*listener.getsockname())
+        writer.write(b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 300000\r\n\r\n")
+        for start in range(0, len(body), 100_000):
+            writer.write(body[start : start + 100_000])
+            await writer.drain()
+            await asyncio.sleep(0.1)
+            now += STALLED_SECONDS * 0.9
+            budget.make_room(newcomer)
+        stopping.set()
+        answer = await reader.read()
+        writer.close()
+        await serving
+        return answer
+
+    assert asyncio.run(run()).endswith(b"300000")
--- a/verbenashore/budget.py
+++ b/verbenashore/budget.py
@@ -113,7 +113,8 @@
     :param group: the server that it belongs to.
     :param peer: the IP address of the client.
     :param close: closes the connection.
-    :param since: when the state began; in ``SENDING``, when the last part was written.
+    :param since: when the state began; in ``SENDING``, when the last part was written; in
+        ``RECEIVING``, when the last 64 KiB of the body had arrived.
     :param idle_seconds: for which the connection may be idle.
     :param requests: how many requests it has had.
     :param held: bytes of its request and answer, beside ``CONNECTION_BYTES``.
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -41,6 +41,9 @@
 READ_BYTES = misc.TURN_BYTES
 #: Bytes that are written at a time, and that may be buffered before a write waits for the caller.
 WRITE_BYTES = 32 << 10
+#: Bytes of a body after which its connection doesn't count as stalled.  Single bytes would let a
+#: client that trickles its body keep its place.
+PROGRESS_BYTES = 64 << 10
 #: Bytes that wait in the buffers of a connection which sends faster than it is read: 64 KiB in the
 #: kernel, up to 64 KiB in the stream.
 RECEIVE_BUFFER_BYTES = 128 << 10
@@ -628,6 +631,8 @@
                     raise _too_large(max_bytes)
                 await self._hold(size * BODY_COPIES)
                 body.write(event.data)
+                if body.tell() // PROGRESS_BYTES > (body.tell() - size) // PROGRESS_BYTES:
+                    self._budget.set_state(self.account, ClientState.RECEIVING)
                 if body.tell() > READ_BYTES and not was_long:
                     await self._hold(RECEIVE_BUFFER_BYTES)
                 await self._turn_taker.record(size)
