Answer 503 when a connection without a request is closed for another

A client whose first request came later than 0.25 s after it had connected could get a reset without a status: its connection was closed for a new one while the request was in the socket, unread. Such a connection gets the refusal of one that there is no room for, and is read for a short time like that.

--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -365,3 +365,41 @@
         return answer
 
     assert asyncio.run(run()).endswith(b"300000")
+
+
+class RecordingBudget(Budget):
+    """A budget that records the last connection it was asked to open."""
+
+    def open(self, account):
+        self.opened = account
+        return super().open(account)
+
+
+@pytest.mark.parametrize("sent", [REQUEST, b""])
+def test_a_connection_closed_for_another_at_its_late_first_request_gets_a_status(sent):
+    """Guards against a reset, which doesn't tell the client that its request has not run."""
+    budget = RecordingBudget()
+
+    async def run():
+        listener = open_listener("127.0.0.1:0")
+        stopping = asyncio.Event()
+        limits = ServerLimits(CallerLimits(), budget)
+        serving = asyncio.create_task(
+            httpserver.serve(listener, None, stopping, server_limits=limits)
+        )
+        reader, writer = await asyncio.open_connection(*listener.getsockname())
+        await asyncio.sleep(0.05)
+        writer.write(sent)
+        budget.close(budget.opened)
+        budget.opened.close()
+        answer = await reader.read()
+        # Its end is awaited for a limited time.
+        await asyncio.sleep(httpserver.LINGER_SECONDS + 0.2)
+        stopping.set()
+        await serving
+        writer.close()
+        return answer
+
+    answer = asyncio.run(run())
+    assert answer == httpserver.REFUSAL
+    assert budget.connections == 0 and budget.start_linger()
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -306,9 +306,12 @@
             else:
                 await connection.refuse()
         except (ConnectionError, h11.ProtocolError, ClientTimeoutError, asyncio.CancelledError):
-            # The caller disconnected or was too slow, or the connection was closed at a stop;
-            # nothing uses the result of this task.
-            pass
+            # The caller disconnected or was too slow, or the connection was closed at a stop or for
+            # another one; nothing uses the result of this task.
+            if connection.was_evicted_unused:
+                task.uncancel()  # Else the end of the timeout in it would be a cancellation.
+                with contextlib.suppress(OSError, asyncio.CancelledError):
+                    await connection.refuse()
         finally:
             connections.discard(connection)
             try:
@@ -408,6 +411,7 @@
 
     :param busy: whether a request is being received or handled.
     :param account: what the connection holds.
+    :param was_evicted_unused: whether it was closed for another one before any request was read.
     """
 
     def __init__(
@@ -435,6 +439,7 @@
             limits.idle_seconds,
         )
         self._pipelines_too_much = False
+        self.was_evicted_unused = False
         writer.transport.set_write_buffer_limits(WRITE_BYTES)
 
     @property
@@ -447,6 +452,9 @@
         """Closes the connection for another one; what its caller hasn't read is dropped."""
         if self._writer.transport.get_write_buffer_size():
             self._writer.transport.abort()
+        # Its first request may be in the socket, unread.
+        is_idle = self.account.state is ClientState.IDLE
+        self.was_evicted_unused = is_idle and not self.account.requests
         self.task.cancel()
 
     async def run(self) -> None:
