Answer 400 to a request target that can't be split

A request such as "GET //[" ended its connection without an answer, and with a traceback in the log: urlsplit raises ValueError for an invalid IPv6 address. The error is answered like that of any other invalid request.

The new test fails without the change and passes with it; test_httpserver and test_budget: 37 passed.

--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -403,3 +403,11 @@
     answer = asyncio.run(run())
     assert answer == httpserver.REFUSAL
     assert budget.connections == 0 and budget.start_linger()
+
+
+def test_a_request_with_an_invalid_target_gets_400():
+    """Guards against a target that ends the connection without an answer."""
+    sent = b"GET //[ HTTP/1.1\r\nhost: h\r\n\r\n"
+    (answer,) = asyncio.run(exchange_with_limits(sent, ServerLimits()))
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert json.loads(answer.partition(b"\r\n\r\n")[2])["error"]["not_run"]
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -706,7 +706,10 @@
 
 def _to_request(head: h11.Request, body: bytes) -> Request:
     target = head.target.decode("ascii", "replace")
-    parts = urlsplit(target)
+    try:
+        parts = urlsplit(target)
+    except ValueError as error:
+        raise BadRequestError(str(error), step="read", field="target", not_run=True) from None
     headers = {name.decode("ascii"): value.decode("latin-1") for name, value in head.headers}
     return Request(
         head.method.decode("ascii"),
