--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -5,7 +5,9 @@
 from verbenashore.budget import (
     CONNECTION_BYTES,
     PAGE_DESCRIPTORS,
+    PAGE_STALLED_SECONDS,
     REPORT_SECONDS,
+    SEARCH_SECONDS,
     STALLED_SECONDS,
     Account,
     Budget,
@@ -172,3 +174,31 @@
     clients.now = REPORT_SECONDS
     clients.budget.report(Limit.MEMORY)
     assert clients.reports == [(Limit.MEMORY, 1), (Limit.MEMORY, 100)]
+
+
+def test_a_search_in_vain_does_not_delay_searches_among_other_connections():
+    """Guards callers who are refused since a page or a request for memory found nothing."""
+    clients = Clients()
+    clients.fill()
+    clients.open("last")
+    clients.now = 1.0
+    probe = clients.open("probe", clients.pages)
+    clients.budget.make_room(probe)
+    while clients.open("probe", clients.pages):
+        pass
+    assert not clients.closed
+    assert clients.open("new") and clients.closed
+
+
+def test_slow_clients_of_a_page_make_room_for_a_probe_after_half_a_second():
+    """Guards against an instance that is taken out of service since its page does not answer."""
+    clients = Clients()
+    caller = clients.open()
+    clients.budget.set_state(caller, ClientState.RECEIVING)
+    while slow := clients.open("slow", clients.pages):
+        clients.budget.set_state(slow, ClientState.RECEIVING)
+    clients.now = PAGE_STALLED_SECONDS * 0.9
+    assert clients.open("probe", clients.pages) is None
+    clients.now = PAGE_STALLED_SECONDS * 1.1 + SEARCH_SECONDS
+    assert clients.open("probe", clients.pages)
+    assert clients.closed and caller not in clients.closed
--- a/verbenashore/budget.py
+++ b/verbenashore/budget.py
@@ -8,8 +8,8 @@
 
 *Load*: 1,638 to 10,250 descriptors, 128 to 440 MB, and clients that open as many connections as
 they can, send bodies and requests as fast as they can, and read nothing.  An ordinary request costs
-some additions; only where a limit is reached are all connections looked at, at most every
-``SEARCH_SECONDS``.
+some additions; only where a limit is reached are all connections looked at, in vain at most
+every ``SEARCH_SECONDS`` for each group and kind of search.
 """
 
 import contextlib
@@ -65,6 +65,8 @@
 #: Seconds after which a connection that has not sent its request, or has read nothing of its
 #: answer, may be closed to make room.
 STALLED_SECONDS = 5.0
+#: The same for one of a page that has not sent its request: the head of a probe is one packet.
+PAGE_STALLED_SECONDS = 0.5
 #: Shortest time in seconds between two searches that found no connection to close.
 SEARCH_SECONDS = 0.05
 #: Shortest time in seconds between two reports of the same limit.
@@ -111,7 +113,8 @@
     :param group: the server that it belongs to.
     :param peer: the IP address of the client.
     :param close: closes the connection.
-    :param since: when the state began; in ``SENDING``, when the last part was written.
+    :param since: when the state began; in ``SENDING``, when the last part was written; in
+        ``RECEIVING``, when the last 64 KiB of the body had arrived.
     :param idle_seconds: for which the connection may be idle.
     :param requests: how many requests it has had.
     :param held: bytes of its request and answer, beside ``CONNECTION_BYTES``.
@@ -173,7 +176,7 @@
         self._running = 0
         self._waiting = 0
         self._lingering = 0
-        self._search_at = float("-inf")
+        self._search_at_by_scope: dict[tuple[Group | None, bool], float] = {}
         self._report_at_by_limit: dict[Limit, float] = {}
         self._unreported: Counter[Limit] = Counter()
 
@@ -348,7 +351,9 @@
     ) -> bool:
         """Closes some connections, of a group or of any, that nothing depends on."""
         now = self.clock()
-        if now < self._search_at:
+        # A search in vain among some connections says nothing about others.
+        scope = (group, stalled_only)
+        if now < self._search_at_by_scope.get(scope, float("-inf")):
             return False
         greedy_peer = self._greedy_peer()
         ranked = (
@@ -361,7 +366,7 @@
         )
         chosen = heapq.nsmallest(EVICTION_COUNT, ranked)
         if not chosen:
-            self._search_at = now + SEARCH_SECONDS
+            self._search_at_by_scope[scope] = now + SEARCH_SECONDS
         for rank, _, account in chosen:
             if rank[0] > chosen[0][0][0]:
                 break
@@ -388,6 +393,8 @@
         if age >= account.idle_seconds * IDLE_SHARE:
             return (1, 0, -age)
         return (2, account.requests, -age) if account.peer == greedy_peer else ()
-    if account.state is ClientState.RUNNING or age < STALLED_SECONDS:
+    is_probe = account.group.is_page and account.state is ClientState.RECEIVING
+    stalled_seconds = PAGE_STALLED_SECONDS if is_probe else STALLED_SECONDS
+    if account.state is ClientState.RUNNING or age < stalled_seconds:
         return ()
     return (3, 0, -age)
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -35,11 +35,15 @@
 
 #: Seconds in which a whole request body must be received.
 BODY_TIMEOUT_SECONDS = 60.0
-#: Seconds for which a write waits for the caller to read, once the send buffer is full.
+#: Seconds for which a write waits for the caller to read, once the send buffer is full; a long
+#: answer may take as many for each of its parts.
 WRITE_TIMEOUT_SECONDS = 20.0
 READ_BYTES = misc.TURN_BYTES
 #: Bytes that are written at a time, and that may be buffered before a write waits for the caller.
 WRITE_BYTES = 32 << 10
+#: Bytes of a body after which its connection doesn't count as stalled.  Single bytes would let a
+#: client that trickles its body keep its place.
+PROGRESS_BYTES = 64 << 10
 #: Bytes that wait in the buffers of a connection which sends faster than it is read: 64 KiB in the
 #: kernel, up to 64 KiB in the stream.
 RECEIVE_BUFFER_BYTES = 128 << 10
@@ -71,6 +75,9 @@
 ACCEPT_COUNT = 16
 #: Seconds after a stop in which requests that were on their way are still received.
 LAST_REQUEST_SECONDS = 0.25
+#: Seconds after that in which the rest of such a request must be received.  A process has 8 s for
+#: its stop, in which requests that run must end as well.
+LAST_BODY_SECONDS = 2.0
 NO_HEADERS: Mapping[str, str] = {}
 #: The answer to a connection that there is no room for.
 REFUSAL = (
@@ -167,8 +174,7 @@
         self.body_bytes = len(body)
         # Released with the request.
         self._budget.hold(self._account, len(body))
-        sending = self._send_in_parts(head, body)
-        await misc.with_timeout(WRITE_TIMEOUT_SECONDS, sending, _unread_error())
+        await self._send_in_parts(head, body)
 
     async def _send_in_parts(self, head: h11.Response, body: bytes) -> None:
         """Writes a long response without a copy of all of it in the buffer of the connection."""
@@ -300,19 +306,24 @@
             else:
                 await connection.refuse()
         except (ConnectionError, h11.ProtocolError, ClientTimeoutError, asyncio.CancelledError):
-            # The caller disconnected or was too slow, or the connection was closed at a stop;
-            # nothing uses the result of this task.
-            pass
+            # The caller disconnected or was too slow, or the connection was closed at a stop or for
+            # another one; nothing uses the result of this task.
+            if connection.was_evicted_unused:
+                task.uncancel()  # Else the end of the timeout in it would be a cancellation.
+                with contextlib.suppress(OSError, asyncio.CancelledError):
+                    await connection.refuse()
         finally:
             connections.discard(connection)
-            if connection.broke_off_unframed:
-                _reset(writer)
-            writer.close()
-            if writer.transport.get_write_buffer_size():
-                seconds = STOP_FLUSH_SECONDS if stopping.is_set() else FLUSH_SECONDS
-                await _flush(writer, seconds)
-            budget.close(connection.account)
-            tasks.discard(task)
+            try:
+                if connection.broke_off_unframed:
+                    _reset(writer)
+                writer.close()
+                if writer.transport.get_write_buffer_size():
+                    seconds = STOP_FLUSH_SECONDS if stopping.is_set() else FLUSH_SECONDS
+                    await _flush(writer, seconds)
+            finally:
+                budget.close(connection.account)
+                tasks.discard(task)
 
     async def serve_queued(caller: socket.socket) -> None:
         await serve_connection(*await asyncio.open_connection(sock=caller, limit=READ_BYTES))
@@ -336,6 +347,12 @@
         for connection in list(connections):
             if not connection.busy:
                 connection.task.cancel()
+        if tasks:
+            await asyncio.wait(tasks, timeout=LAST_BODY_SECONDS)
+        for connection in list(connections):
+            # Nothing has run for them.
+            if connection.account.state is ClientState.RECEIVING:
+                connection.task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
     finally:
         queue.close()
@@ -354,16 +371,22 @@
 async def _flush(writer: asyncio.StreamWriter, seconds: float) -> None:
     """Waits until the caller has read what is buffered, and breaks the connection if it doesn't."""
     try:
-        with contextlib.suppress(TimeoutError, OSError):
-            async with asyncio.timeout(seconds):
-                await writer.wait_closed()
-    finally:
-        writer.transport.abort()
+        async with asyncio.timeout(seconds):
+            await writer.wait_closed()
+    except (TimeoutError, asyncio.CancelledError) as error:
+        # A transport that has closed after sending all can't be aborted.
+        if writer.transport.get_write_buffer_size():
+            writer.transport.abort()
+        if isinstance(error, asyncio.CancelledError):
+            raise
+    except OSError:
+        pass  # The caller has closed it.
 
 
 def _accept_all(listener: socket.socket) -> Iterator[socket.socket]:
     """Yields the connections that the kernel has queued for a non-blocking listening socket."""
-    with contextlib.suppress(BlockingIOError):
+    # Without a descriptor, say, the rest is lost, but not the requests that are in progress.
+    with contextlib.suppress(OSError):
         while True:
             yield listener.accept()[0]
 
@@ -388,6 +411,7 @@
 
     :param busy: whether a request is being received or handled.
     :param account: what the connection holds.
+    :param was_evicted_unused: whether it was closed for another one before any request was read.
     """
 
     def __init__(
@@ -415,6 +439,7 @@
             limits.idle_seconds,
         )
         self._pipelines_too_much = False
+        self.was_evicted_unused = False
         writer.transport.set_write_buffer_limits(WRITE_BYTES)
 
     @property
@@ -427,6 +452,9 @@
         """Closes the connection for another one; what its caller hasn't read is dropped."""
         if self._writer.transport.get_write_buffer_size():
             self._writer.transport.abort()
+        # Its first request may be in the socket, unread.
+        is_idle = self.account.state is ClientState.IDLE
+        self.was_evicted_unused = is_idle and not self.account.requests
         self.task.cancel()
 
     async def run(self) -> None:
@@ -455,13 +483,13 @@
                 self._budget.end_request(self.account)
                 self._budget.release(self.account)
             self.busy = False
-            if self._connection.our_state is not h11.DONE:
-                return
-            if self._connection.their_state is not h11.DONE:
-                return
-            if self._pipelines_too_much:
+            our_state = self._connection.our_state
+            # An answer with "connection: close" ends in MUST_CLOSE.
+            if self._pipelines_too_much and our_state in (h11.DONE, h11.MUST_CLOSE):
                 await self._linger()
                 return
+            if our_state is not h11.DONE or self._connection.their_state is not h11.DONE:
+                return
             self._connection.start_next_cycle()
 
     async def refuse(self) -> None:
@@ -611,6 +639,8 @@
                     raise _too_large(max_bytes)
                 await self._hold(size * BODY_COPIES)
                 body.write(event.data)
+                if body.tell() // PROGRESS_BYTES > (body.tell() - size) // PROGRESS_BYTES:
+                    self._budget.set_state(self.account, ClientState.RECEIVING)
                 if body.tell() > READ_BYTES and not was_long:
                     await self._hold(RECEIVE_BUFFER_BYTES)
                 await self._turn_taker.record(size)
@@ -676,7 +706,10 @@
 
 def _to_request(head: h11.Request, body: bytes) -> Request:
     target = head.target.decode("ascii", "replace")
-    parts = urlsplit(target)
+    try:
+        parts = urlsplit(target)
+    except ValueError as error:
+        raise BadRequestError(str(error), step="read", field="target", not_run=True) from None
     headers = {name.decode("ascii"): value.decode("latin-1") for name, value in head.headers}
     return Request(
         head.method.decode("ascii"),
