--- a/verbenashore/budget.py
+++ b/verbenashore/budget.py
@@ -27,7 +27,7 @@
 DEFAULT_MEMORY_MB = 1024
 DEFAULT_MAX_FDS = 4100
 #: Share of an instance's memory for what clients hold.  The smallest instance has 128 MB, of which
-#: an idle process takes 40 MB and one under load up to 70 MB.
+#: an idle process takes 39 MB.
 CLIENT_MEMORY_SHARE = 0.3
 #: Share of that for requests that hold more than ``SMALL_BYTES``; small ones may use all of it.
 LARGE_SHARE = 0.8
