Run an item again after an error of our own in an attempt

What callers saw: nothing yet; found by reading for LOST ("an item is listed neither as completed nor as dead-lettered"). An attempt at an item that ended with any other error than one of the server left the item in the table of running items. No pass started it again and nothing listed it, until its job was given up or another process led. An item whose path can't be written as a request showed it: accepted with 202, no run, no result, and no line in the log but asyncio's about an exception that nobody retrieved.

Cause: only BackendError released the item; the task of a run has no observer.

Now every other error is logged as handler_failed with the job, the item and the server, no server is blamed for it, and the item runs again after a second.

The test failed before with TimeoutError: the item was not listed within 5 s.

--- a/tests/test_jobrunner.py
+++ b/tests/test_jobrunner.py
@@ -727,3 +727,18 @@
     """Guards against a job of large items that stops all other items of its service."""
     assert asyncio.run(start_items_behind_large_ones([*range(2000, 900, -10), 100])) == [100]
     assert asyncio.run(start_items_behind_large_ones([*range(140, 100, -1), 100, 90])) == [100, 90]
+
+
+def test_an_item_whose_attempt_met_an_error_of_this_process_runs_again(monkeypatch):
+    """Guards against an item that no attempt runs and no result lists until its job expires."""
+    faults, original = [ValueError("a fault")], call_headers
+
+    def call_headers_after_a_fault(*args):
+        if faults:
+            raise faults.pop()
+        return original(*args)
+
+    monkeypatch.setattr(jobrunner, "FAULT_DELAY_SECONDS", 0.1, raising=False)
+    monkeypatch.setattr("tests.test_jobrunner.call_headers", call_headers_after_a_fault)
+    asked, result = asyncio.run(run_item_on([EVENT_HEAD + item_events(1, 4)]))
+    assert asked == [0] and result.completed and not faults
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -47,6 +47,8 @@
 READ_PAUSE_SECONDS = 0.1
 #: Seconds before a failed item is retried.
 RETRY_DELAY_SECONDS = 0.15
+#: The same after an error of this process, which the next attempt is likely to meet again.
+FAULT_DELAY_SECONDS = 1.0
 #: Free slots that a server must have beyond the one for a new item, for the next online call.
 RESERVED_SLOTS = 1
 #: Seconds for which a server gets no new item after one yielded there: each start processes the
@@ -469,6 +471,9 @@
             self._metrics.count(f"{job.route}.item_retried")
             self._schedule_retry(run, progress, error)
             return
+        except Exception as error:
+            self._delay_after_fault(run, progress, error)
+            return
         finally:
             progress.record_stop(started, self._clock())
             self._remove_from_load_table(run)
@@ -484,9 +489,7 @@
         except VerbenaError as error:
             logs.warning(Event.REQUEST_FAILED, step="record", item=run.key, error=error.message)
         finally:
-            if self._run_by_key.get(run.key) is run:
-                del self._run_by_key[run.key]
-            self.wake()
+            self._forget_run(run)
 
     async def _check_for_crash(self, run: Run, progress: Progress, error: BackendError) -> None:
         if await backendcall.has_crashed(run.server, error):
@@ -566,6 +569,15 @@
             progress.failed_at.add(run.server.name)
         self._prober.record_error(run.server.name, error)
         logs.warning(Event.ITEM_RETRIED, **_log_fields(run), step=error.step, error=error.message)
+        self._forget_run(run)
+
+    def _delay_after_fault(self, run: Run, progress: Progress, error: Exception) -> None:
+        """Delays an item whose attempt met an error that no server caused."""
+        progress.not_before = self._clock() + FAULT_DELAY_SECONDS
+        logs.warning(Event.HANDLER_FAILED, **_log_fields(run), error=repr(error))
+        self._forget_run(run)
+
+    def _forget_run(self, run: Run) -> None:
         if self._run_by_key.get(run.key) is run:
             del self._run_by_key[run.key]
         self.wake()
