--- a/verbenashore/ledger.py
+++ b/verbenashore/ledger.py
@@ -5,7 +5,7 @@
 import contextlib
 import random
 import sys
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -85,7 +85,7 @@
 )
 from verbenashore.process import Process
 from verbenashore.replica import JoinRequest, ReplicaRunner
-from verbenashore.replication import Packet, Peer
+from verbenashore.replicalinks import ReplicaLinks
 from verbenashore.settings import Address, Setting
 from verbenashore.transfer import AskPart, Document, Part, VersionCache
 from verbenashore.types import (
@@ -256,7 +256,7 @@
         self._members = members.MemberTable()
         self._members_term = -1
         self._version_cache_by_document = {document: VersionCache() for document in Document}
-        self._address_by_replica: dict[ReplicaId, str] = {}
+        self._replica_links = ReplicaLinks(running.links)
         name_and_address = (running.name, settings.advertised_address(self._settings))
         timing = replication.scaled_timing(self._settings.election, self._settings.replace_after)
         self._runner_by_group = {
@@ -266,7 +266,7 @@
                 _data_folder(self._settings, group),
                 timing,
                 running.clock,
-                self._sender_for(group),
+                self._replica_links.sender_for(group),
                 self._settings.replicas,
                 self._settings.snapshot_bytes,
                 self._settings.trace,
@@ -601,15 +601,6 @@
             [_group_status(group, runner) for group, runner in self._runner_by_group.items()],
         )
 
-    def _sender_for(self, group: GroupId) -> Callable[[Peer, Packet], None]:
-        def send(peer: Peer, packet: Packet) -> None:
-            # A candidate may be missing from the membership that this replica knows.
-            address = peer.address or self._address_by_replica.get(packet.to, "")
-            if address:
-                self._process.links.to(address).post(ReplicaPacket(group, packet))
-
-        return send
-
     async def _maintain_membership(self, runner: ReplicaRunner) -> None:
         """Forms or joins the group, and rejoins it if the replica loses contact with its leader."""
         while True:
@@ -643,7 +634,7 @@
         )
         identities = [identity for identity in replies if identity is not None]
         for identity in identities:
-            self._address_by_replica[identity.peer.id] = identity.peer.address
+            self._replica_links.record_address(identity.peer.id, identity.peer.address)
         formed = [identity for identity in identities if identity.formed]
         if formed:
             leaders = {identity.leader for identity in formed if identity.leader}
--- a/verbenashore/replica.py
+++ b/verbenashore/replica.py
@@ -116,6 +116,15 @@
             clock(),
             name_and_address[0],
         )
+        logs.info(
+            Event.REPLICA_OPENED,
+            group=group,
+            replica=self.peer.id,
+            is_new=self._folder.created,
+            term=self.core.hard.term,
+            last_index=consensus.last_index(self.core),
+            voters=[voter.id for voter in consensus.membership(self.core).voters],
+        )
         self._inbox: asyncio.Queue[InboxMessage] = asyncio.Queue()
         self._pending_by_index: dict[LogIndex, PendingResult] = {}
         self._log_bytes = 0
@@ -356,9 +365,24 @@
                 group=self.group,
                 voters=[peer.name for peer in change.voters],
                 learners=[peer.name for peer in change.learners],
+                reply_ages=self._reply_ages(),
             )
             consensus.change_membership(self.core, change, self._clock())
 
+    def _reply_ages(self) -> dict[MemberName, float]:
+        """Returns the seconds since each other member last replied, or since the election."""
+        now = self._clock()
+        membership = consensus.membership(self.core)
+        replied_at_by_name = {
+            peer.name: consensus.progress_of(self.core, peer.id).last_reply_at
+            for peer in (*membership.voters, *membership.learners)
+            if peer.id != self.peer.id
+        }
+        return {
+            name: round(now - max(replied_at, self.core.led_since), 3)
+            for name, replied_at in replied_at_by_name.items()
+        }
+
     def _fail_pending(self) -> None:
         error = UnavailableError("leadership was lost before the commit", step="commit")
         for pending in self._pending_by_index.values():
