Reply to the address that the sender of a consensus message states

After the last fault nothing is served any more, and neither jobs nor the configuration can be read.

Cause: a replica looked the address of the recipient up in its own log, or in what it was told when it looked for the group. One on an empty disk has no log; it had asked the seeds, who named the leader's address, but it knew the leader's id only if the leader was a seed. Otherwise its replies were dropped. The leader took it in and dropped it as silent every 1.5 s, two lost disks were not replaced within 20 s, and the third one ended the majority. A voter that was cut off while a later leader joined had the same fault.

Now each consensus message states the address of its process, and replies to recipients that the log lacks go there. Messages of earlier builds have none, and are answered as before.

--- a/verbenashore/ledger.py
+++ b/verbenashore/ledger.py
@@ -256,8 +256,8 @@
         self._members = members.MemberTable()
         self._members_term = -1
         self._version_cache_by_document = {document: VersionCache() for document in Document}
-        self._replica_links = ReplicaLinks(running.links)
         name_and_address = (running.name, settings.advertised_address(self._settings))
+        self._replica_links = ReplicaLinks(running.links, name_and_address[1])
         timing = replication.scaled_timing(self._settings.election, self._settings.replace_after)
         self._runner_by_group = {
             group: ReplicaRunner(
@@ -333,6 +333,8 @@
 
     def on_packet(self, message: ReplicaPacket) -> None:
         """Passes a consensus message to its replica."""
+        if message.address:
+            self._replica_links.record_address(message.packet.sender, message.address)
         runner = self._runner_by_group.get(message.group)
         if runner is not None:
             runner.enqueue(message.packet)
--- a/verbenashore/messages.py
+++ b/verbenashore/messages.py
@@ -52,10 +52,14 @@
 
 
 class ReplicaPacket(msgspec.Struct, frozen=True, array_like=True, tag="packet"):
-    """A consensus message of one group."""
+    """A consensus message of one group.
+
+    :param address: of the process that sends it; "" from earlier builds.
+    """
 
     group: GroupId
     packet: replication.Packet
+    address: str = ""
 
 
 class AskIdentity(msgspec.Struct, frozen=True, array_like=True, tag="ask_identity"):
--- a/verbenashore/replicalinks.py
+++ b/verbenashore/replicalinks.py
@@ -14,11 +14,14 @@
     """The addresses of replicas that the membership known here may lack.
 
     A leader or candidate may be missing from it: this replica may be new, or may have missed the
-    change that added the other one.
+    change that added the other one.  Its messages therefore state where to reply.
+
+    :param address: of this process.
     """
 
-    def __init__(self, links: LinkPool) -> None:
+    def __init__(self, links: LinkPool, address: str) -> None:
         self._links = links
+        self._address = address
         self._address_by_replica: dict[ReplicaId, str] = {}
         self._unknown_replicas: set[ReplicaId] = set()
 
@@ -36,7 +39,7 @@
         def send(peer: Peer, packet: Packet) -> None:
             address = peer.address or self._address_by_replica.get(packet.to, "")
             if address:
-                self._links.to(address).post(ReplicaPacket(group, packet))
+                self._links.to(address).post(ReplicaPacket(group, packet, self._address))
             elif packet.to not in self._unknown_replicas:
                 self._unknown_replicas.add(packet.to)
                 message = type(packet.message).__name__
