Send an item back to the server that failed it if no other may get calls

What callers saw: nothing yet; found by reading for LOST ("an item is listed neither as completed nor as dead-lettered"). An item is not sent again to a server that failed it until it has failed at all servers of the service. While one of them is silent, it is tried by one item every 4 s, and each attempt starts these 4 s anew. So after a reset of the connections of the only other server, its items waited 4 s each, one after the other, beside its free slots.

Cause: the exclusion counted the servers that are listed, not those that may get calls.

Now it ends as soon as no other server of the service may get calls; the dispatcher decides the same for online calls.

The test failed before: no server was chosen.

--- a/tests/test_jobrunner.py
+++ b/tests/test_jobrunner.py
@@ -10,7 +10,7 @@
 from verbenashore import itemjobs, jobrunner
 from verbenashore.backendcall import AnswerHead, Dialect
 from verbenashore.directory import BackendEntry, Directory
-from verbenashore.dispatch import Dispatcher
+from verbenashore.dispatch import Dispatcher, FailureKind
 from verbenashore.itemjobs import (
     CommitProgress,
     EndItemJob,
@@ -742,3 +742,18 @@
     monkeypatch.setattr("tests.test_jobrunner.call_headers", call_headers_after_a_fault)
     asked, result = asyncio.run(run_item_on([EVENT_HEAD + item_events(1, 4)]))
     assert asked == [0] and result.completed and not faults
+
+
+async def choose_after_failures():
+    """Chooses a server for an item that failed at one of two, before and after the other fails."""
+    servers = [BackendEntry(name, "s", "127.0.0.1:1", "d", 8, False) for name in "bc"]
+    runner = make_runner(ItemJobTable(), servers[0], None, Metrics("l", ()), None, servers[1:])
+    failed_at = {"b"}
+    before = runner._choose_server("s", 0.0, failed_at)
+    runner._dispatcher.record_failure("c", FailureKind.UNREACHABLE, 0.0)
+    return before.name, runner._choose_server("s", 0.0, failed_at).name
+
+
+def test_an_item_returns_to_the_server_that_failed_it_while_no_other_may_get_calls():
+    """Guards against items that wait for a silent server beside idle ones."""
+    assert asyncio.run(choose_after_failures()) == ("c", "b")
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -85,8 +85,8 @@
     :param stopped_at: when its last run stopped.
     :param prompt: the parts of the item's prompt.
     :param tokens: for which a server that runs the item needs memory.
-    :param failed_at: servers at which an attempt failed; they are excluded until an attempt has
-        failed at all servers of the service.
+    :param failed_at: servers at which an attempt failed; they are excluded while another server of
+        the service may get calls.
     :param chain: identifies these runs in what is committed of them.
     """
 
@@ -399,14 +399,12 @@
 
         A free slot of a slow server counts for less.
 
-        :param excluded: servers to pass over; emptied if it holds all servers of the service.
+        :param excluded: servers to pass over; emptied if no other server may get calls now.
         :param tokens: for which the item needs memory.
         """
         best = None
         most_room = 0.0
-        if excluded and excluded.issuperset(
-            server.name for server in self._directory.accepting_servers(service)
-        ):
+        if excluded and not self._dispatcher.has_usable(service, excluded, now):
             excluded.clear()
         for room, server, total in self._free_servers(service, now):
             if (
