Take an empty record for a torn write, not for a damaged log

A replica that lost its power during a write could no longer open its data folder and ended at each start, with all that it had synced. With one disk lost beside it, a group of three has no quorum left, and nothing that was acknowledged can be read.

Cause: a power loss may leave the first bytes of a write, with zeros after them. If they end just after the magic of the first record, the zeros are the length and the checksum of an empty record, which passed the check and could not be decoded. No record is empty.

The same check decides whether a later write follows the damage, so such a rest no longer counts as one there either.

--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -88,6 +88,15 @@
     assert reopen(tmp_path)[1].entries == recovered.entries
 
 
+def test_a_write_torn_after_the_magic_of_its_first_record_is_truncated(tmp_path):
+    """The zeros that follow have the length and the checksum of an empty record."""
+    segment = write_entries(tmp_path)
+    segment.write_bytes(segment.read_bytes() + storage.FIRST_MAGIC + bytes(40))
+    _, recovered = reopen(tmp_path)
+    assert [e.index for e in recovered.entries] == [1, 2, 3, 4, 5]
+    assert recovered.truncated_bytes == 44
+
+
 def test_a_missing_identity_file_is_an_error(tmp_path):
     write_entries(tmp_path)
     (tmp_path / "identity").unlink()
--- a/verbenashore/storage.py
+++ b/verbenashore/storage.py
@@ -285,6 +285,8 @@
     payload = data[offset + RECORD_HEADER.size : offset + RECORD_HEADER.size + length]
     if (
         magic not in (FIRST_MAGIC, NEXT_MAGIC)
+        # No record is empty, but a torn header may end in zeros.
+        or length == 0
         or len(payload) != length
         or crc32c(payload) != checksum
     ):
