--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -137,6 +137,18 @@
     assert recovered.entries == []
 
 
+def test_entries_stored_after_an_interrupted_install_are_not_lost_with_its_stale_log(tmp_path):
+    folder, _ = storage.open_folder(tmp_path)
+    storage.write(folder, None, [entry(n, 1) for n in range(1, 11)])
+    storage.write_snapshot(folder, Snapshot(Base(7, 2), b"state"))
+    storage.close(folder)
+    folder, _ = storage.open_folder(tmp_path)
+    storage.write(folder, HardState(2, "x"), [entry(8, 2), entry(9, 2)])
+    storage.close(folder)
+    _, recovered = reopen(tmp_path)
+    assert [(e.index, e.term) for e in recovered.entries] == [(8, 2), (9, 2)]
+
+
 def test_a_full_disk_raises_an_error(tmp_path, monkeypatch):
     folder, _ = storage.open_folder(tmp_path)
 
--- a/verbenashore/storage.py
+++ b/verbenashore/storage.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import errno
+import itertools
 import os
 import struct
 from pathlib import Path
@@ -40,9 +41,13 @@
 
 
 class HardStateRecord(msgspec.Struct, frozen=True, array_like=True, tag=2):
-    """A hard state on disk; the last one in the log is current."""
+    """A hard state on disk; the last one in the log is current.
+
+    :param first_segment: the entries in segments before this one are not part of the log any more.
+    """
 
     hard_state: HardState
+    first_segment: int = 0
 
 
 Record = EntryRecord | HardStateRecord
@@ -68,6 +73,7 @@
     :param segment_number: the segment that is open for writing.
     :param segment_size: the size in bytes of what was synced to it.
     :param is_torn: whether a failed write may have left bytes after these.
+    :param first_segment: the segment with which the log begins; older ones may still be there.
     :param last_index_by_segment: the entry index that a snapshot must have reached before each
         segment may be removed.
     """
@@ -79,6 +85,7 @@
     descriptor: int = -1
     segment_size: int = 0
     is_torn: bool = False
+    first_segment: int = 0
     hard_state: HardState = HardState()
     last_index_by_segment: dict[int, int] = msgspec.field(default_factory=dict)
 
@@ -198,9 +205,15 @@
             _start_segment(folder)
         except OSError as error:
             raise _storage_error(error, "reset", folder.path) from error
+    first_segment = folder.segment_number
     write(folder, hard_state, entries)
-    closed = [number for number in folder.last_index_by_segment if number < folder.segment_number]
-    for number in closed:
+    folder.first_segment = first_segment
+    try:
+        # Before any segment is removed: a power loss may bring back some of them, in any order.
+        _start_segment(folder)
+    except OSError as error:
+        raise _storage_error(error, "reset", folder.path) from error
+    for number in [n for n in folder.last_index_by_segment if n < first_segment]:
         folder.last_index_by_segment[number] = 0
     remove_covered_segments(folder, snapshot.base.index)
 
@@ -312,12 +325,20 @@
     entry_by_index: dict[int, LogEntry] = {}
     last_index = 0
     files = _segment_paths(folder.path)
-    for file in files:
-        number = int(file.name.removeprefix("log-"))
-        folder.segment_number = max(folder.segment_number, number)
-        for record in _read_segment(file, file == files[-1], recovered):
+    records_by_segment = {
+        int(file.name.removeprefix("log-")): _read_segment(file, file == files[-1], recovered)
+        for file in files
+    }
+    folder.segment_number = max(records_by_segment, default=0)
+    for record in itertools.chain.from_iterable(records_by_segment.values()):
+        if isinstance(record, HardStateRecord):
+            recovered.hard_state = record.hard_state
+            folder.first_segment = max(folder.first_segment, record.first_segment)
+    for number, records in records_by_segment.items():
+        if number < folder.first_segment:
+            continue
+        for record in records:
             if isinstance(record, HardStateRecord):
-                recovered.hard_state = record.hard_state
                 continue
             index = record.entry.index
             for replaced in range(index, last_index + 1):
@@ -330,6 +351,8 @@
     if entry_at_base is not None and entry_at_base.term != base.term:
         # The process crashed after a leader's snapshot was written, before the log was replaced.
         entry_by_index.clear()
+        folder.last_index_by_segment.clear()
+        folder.first_segment = folder.segment_number + 1
     recovered.entries = [
         entry_by_index[index] for index in sorted(entry_by_index) if index > base.index
     ]
@@ -381,7 +404,8 @@
     path = folder.path / f"log-{number:010d}"
     flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND
     descriptor = os.open(path, flags, 0o640)
-    data = _frame(msgspec.msgpack.encode(HardStateRecord(folder.hard_state)))
+    first_record = HardStateRecord(folder.hard_state, folder.first_segment)
+    data = _frame(msgspec.msgpack.encode(first_record))
     try:
         _write_all(descriptor, data)
         os.fsync(descriptor)
