Replace a lost voter while commits never pause

Cause: a learner could be promoted only at a moment at which it had acknowledged the newest commit. A learner that is further from the leader than the quorum, or on a slower disk, is behind it by some milliseconds. If commits follow each other faster than that, such a moment never comes.

Change: a learner also counts as caught up if all entries have been sent to it and it has answered a message of the last election timeout, so that it lacks only what is on its way. It delays commits by as much at most, and promotion was never what makes a commit safe.

Evidence: the test has a learner one step (20 ms) behind the voters and a commit in each step. Before, the lost voter was still there after 5 s, with replacement due after 2 s:

AssertionError: assert (3 == 3 and 'n1-2' not in {'n0-1', 'n1-2', 'n2-3'})

--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -272,6 +272,33 @@
     assert group.commands() == [b"kept", b"after"]
 
 
+def test_a_lost_voter_is_replaced_by_a_distant_learner_while_commits_never_pause():
+    group = Group(spares=1)
+    group.run(2.0)
+    (leader,) = group.servers()
+    lost = next(name for name in ("n0", "n1", "n2") if name != leader)
+    lost_id, distant_id = group.replicas[lost].id, group.replicas["n3"].id
+    group.crash(lost)
+    on_their_way = []
+    deliver = group.deliver
+
+    def deliver_later(sender, packet):
+        if distant_id in (packet.sender, packet.to):
+            on_their_way.append((sender, packet))
+        else:
+            deliver(sender, packet)
+
+    group.deliver = deliver_later
+    for number in range(250):
+        arriving, on_their_way[:] = on_their_way[:], []
+        for sender, packet in arriving:
+            deliver(sender, packet)
+        group.propose(b"%d" % number)
+        group.step()
+    voters = {peer.id for peer in consensus.membership(group.replicas[leader]).voters}
+    assert len(voters) == 3 and lost_id not in voters
+
+
 def test_a_replica_that_lacks_discarded_entries_catches_up_by_a_snapshot():
     group = Group()
     group.run(2.0)
--- a/verbenashore/repair.py
+++ b/verbenashore/repair.py
@@ -120,9 +120,19 @@
 
 
 def _is_caught_up(replica: Replica, peer: Peer, now: float) -> bool:
+    """Returns whether a learner has the log, or lacks only what is on its way to it.
+
+    While commits go on, the entries of the last moments are always on their way.
+    """
     progress = consensus.progress_of(replica, peer.id)
-    in_contact = now - progress.last_reply_at < replica.timing.election_max
-    return in_contact and progress.match_index >= replica.commit
+    if progress.match_index >= replica.commit:
+        return now - progress.last_reply_at < replica.timing.election_max
+    is_receiving_all = (
+        progress.outgoing is None
+        and not progress.probing
+        and progress.next_index > consensus.last_index(replica)
+    )
+    return is_receiving_all and now - progress.acknowledged_sent_at < replica.timing.election_min
 
 
 def _without_learner(current: Membership, learner: Peer, voters: tuple[Peer, ...]) -> Membership:
