--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -88,6 +88,15 @@
     assert reopen(tmp_path)[1].entries == recovered.entries
 
 
+def test_a_write_torn_after_the_magic_of_its_first_record_is_truncated(tmp_path):
+    """The zeros that follow have the length and the checksum of an empty record."""
+    segment = write_entries(tmp_path)
+    segment.write_bytes(segment.read_bytes() + storage.FIRST_MAGIC + bytes(40))
+    _, recovered = reopen(tmp_path)
+    assert [e.index for e in recovered.entries] == [1, 2, 3, 4, 5]
+    assert recovered.truncated_bytes == 44
+
+
 def test_a_missing_identity_file_is_an_error(tmp_path):
     write_entries(tmp_path)
     (tmp_path / "identity").unlink()
@@ -128,6 +137,18 @@
     assert recovered.entries == []
 
 
+def test_entries_stored_after_an_interrupted_install_are_not_lost_with_its_stale_log(tmp_path):
+    folder, _ = storage.open_folder(tmp_path)
+    storage.write(folder, None, [entry(n, 1) for n in range(1, 11)])
+    storage.write_snapshot(folder, Snapshot(Base(7, 2), b"state"))
+    storage.close(folder)
+    folder, _ = storage.open_folder(tmp_path)
+    storage.write(folder, HardState(2, "x"), [entry(8, 2), entry(9, 2)])
+    storage.close(folder)
+    _, recovered = reopen(tmp_path)
+    assert [(e.index, e.term) for e in recovered.entries] == [(8, 2), (9, 2)]
+
+
 def test_a_full_disk_raises_an_error(tmp_path, monkeypatch):
     folder, _ = storage.open_folder(tmp_path)
 
