Log why a request that was received has no complete answer

The logs couldn't tell apart the ways in which an entry closes a connection on a request. A stream cut at the end of the grace was "deadline", like one at its own timeout; a connection that was closed for another one, for a slow reader or at a stop left no line, or "caller left"; and an entry that ended with an unexpected error left none at all.

Now request_dropped (601) names the cause and the state of the request, call_failed (516) has the outcome "stopped" where the end of the process comes before the timeout, and stopped (102) is logged with the error also if it is no error of the project's own. No logic is changed.

--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -13,11 +13,25 @@
 from verbenashore.exceptions import ClientTimeoutError
 from verbenashore.httpserver import ServerLimits
 from verbenashore.listener import open_listener
+from verbenashore.logs import Event
 from verbenashore.routing import CallerLimits
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
 
 
+@pytest.fixture
+def dropped(monkeypatch):
+    """Returns the cause and state of each request that is logged as dropped."""
+    drops = []
+
+    def record_event(event, **fields):
+        if event is Event.REQUEST_DROPPED:
+            drops.append((fields["cause"].value, fields["state"].value))
+
+    monkeypatch.setattr(httpserver.logs, "info", record_event)
+    return drops
+
+
 async def connect_and_send(listener):
     """Connects and sends a request before the server can accept the connection."""
     caller = socket.create_connection(listener.getsockname())
@@ -83,7 +97,7 @@
 
 @pytest.mark.parametrize("version", ["1.0", "1.1"])
 @pytest.mark.parametrize("error", [ConnectionResetError, ValueError])
-def test_a_response_that_is_broken_off_is_not_complete_for_its_caller(version, error):
+def test_a_response_that_is_broken_off_is_not_complete_for_its_caller(dropped, version, error):
     async def handle(_request, respond):
         await respond.start_stream_with_headers(200, [])
         await respond.send_chunk(b"part")
@@ -108,6 +122,7 @@
 
     received, reset = asyncio.run(run())
     assert reset or (b"chunked" in received and not received.endswith(b"0\r\n\r\n"))
+    assert dropped == [("broken_off", "running")]
 
 
 async def exchange_with_limits(sent, limits, handle=None, count=1):
@@ -250,7 +265,7 @@
     assert answer.count(b"whole") == 1 and b"connection: close" in answer.lower()
 
 
-def test_a_stop_does_not_wait_for_a_client_that_trickles_its_request(monkeypatch):
+def test_a_stop_does_not_wait_for_a_client_that_trickles_its_request(dropped, monkeypatch):
     """Guards against a stop that takes as long as a body may, and is cut off by its grace."""
     monkeypatch.setattr(httpserver, "LAST_BODY_SECONDS", 0.2)
 
@@ -265,6 +280,7 @@
             await asyncio.wait_for(serving, 2.0)
 
     asyncio.run(run())
+    assert dropped == [("stop", "receiving")]
 
 
 def test_a_stop_waits_for_a_request_that_runs_longer_than_a_body_may_take(monkeypatch):
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -385,7 +385,8 @@
                 async with self._call_timeout(relay.deadline - self._clock()):
                     await self._run_attempts(relay)
         except TimeoutError:
-            self._log_end(Event.CALL_FAILED, relay, outcome="deadline")
+            outcome = "stopped" if self._ends_at < relay.deadline else "deadline"
+            self._log_end(Event.CALL_FAILED, relay, outcome=outcome)
             if respond.started:
                 raise ConnectionResetError from None
             if not relay.runs:
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -12,6 +12,7 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable, Iterator, Mapping
+from enum import Enum
 from typing import Any
 from urllib.parse import parse_qsl, unquote, urlsplit
 
@@ -86,6 +87,15 @@
 )
 
 
+class DropCause(Enum):
+    """Why a server closes a connection whose request it has begun to receive."""
+
+    STOP = "stop"
+    EVICTED = "evicted"
+    UNREAD = "unread"
+    BROKEN_OFF = "broken_off"
+
+
 class ServerLimits(msgspec.Struct):
     """The limits that a server imposes on its callers; they may be replaced while it runs.
 
@@ -308,6 +318,7 @@
         except (ConnectionError, h11.ProtocolError, ClientTimeoutError, asyncio.CancelledError):
             # The caller disconnected or was too slow, or the connection was closed at a stop or for
             # another one; nothing uses the result of this task.
+            connection.log_dropped_request()
             if connection.was_evicted_unused:
                 task.uncancel()  # Else the end of the timeout in it would be a cancellation.
                 with contextlib.suppress(OSError, asyncio.CancelledError):
@@ -352,7 +363,7 @@
         for connection in list(connections):
             # Nothing has run for them.
             if connection.account.state is ClientState.RECEIVING:
-                connection.task.cancel()
+                connection.end(DropCause.STOP)
         await asyncio.gather(*tasks, return_exceptions=True)
     finally:
         queue.close()
@@ -440,6 +451,9 @@
         )
         self._pipelines_too_much = False
         self.was_evicted_unused = False
+        self._path = ""
+        self._drop_cause: DropCause | None = None
+        self._drop_state = ClientState.IDLE
         writer.transport.set_write_buffer_limits(WRITE_BYTES)
 
     @property
@@ -455,8 +469,28 @@
         # Its first request may be in the socket, unread.
         is_idle = self.account.state is ClientState.IDLE
         self.was_evicted_unused = is_idle and not self.account.requests
+        self.end(DropCause.EVICTED)
+
+    def end(self, cause: DropCause) -> None:
+        """Closes the connection, whatever its request has come to."""
+        self._record_drop(cause)
         self.task.cancel()
 
+    def _record_drop(self, cause: DropCause) -> None:
+        if self._drop_cause is None:
+            self._drop_cause, self._drop_state = cause, self.account.state
+
+    def log_dropped_request(self) -> None:
+        """Logs that a request has no complete answer because the connection was closed here."""
+        if self._drop_cause is not None and self._drop_state is not ClientState.IDLE:
+            logs.info(
+                Event.REQUEST_DROPPED,
+                cause=self._drop_cause,
+                state=self._drop_state,
+                path=self._path,
+                peer=self.account.peer,
+            )
+
     async def run(self) -> None:
         """Serves the requests of the connection one by one."""
         while True:
@@ -471,6 +505,7 @@
                 request = await self._read_request()
                 if request is None:
                     return
+                self._path = request.path
                 await self._start_request(request, respond)
             except VerbenaError as error:
                 await self._refuse_request(respond, error)
@@ -580,16 +615,25 @@
             await self._server_state.handle(request, respond)
         except VerbenaError as error:
             if respond.started:
-                raise ConnectionResetError from error
+                raise self._broken_off(error) from error
             await respond_error(respond, error)
-        except (ConnectionError, asyncio.CancelledError):
+        except ConnectionError as error:
+            if respond.started:
+                raise self._broken_off(error) from error
+            raise
+        except asyncio.CancelledError:
             raise
         except Exception as error:
             logs.warning(Event.HANDLER_FAILED, path=request.path, error=repr(error))
             if respond.started:
-                raise ConnectionResetError from error
+                raise self._broken_off(error) from error
             await respond_error(respond, VerbenaError(repr(error), step="handle"))
 
+    def _broken_off(self, error: Exception) -> ConnectionResetError:
+        is_unread = isinstance(error, ClientTimeoutError)
+        self._record_drop(DropCause.UNREAD if is_unread else DropCause.BROKEN_OFF)
+        return ConnectionResetError()
+
     async def _read_request(self) -> Request | None:
         """Reads the next request; None if the caller closed the connection or the server stops."""
         idle_error = ClientTimeoutError("idle connection timed out", step="read", not_run=True)
--- a/verbenashore/process.py
+++ b/verbenashore/process.py
@@ -227,6 +227,9 @@
         logs.warning(event, error=error.message, **details)
         print(f"{settings.name}: {error.code}: {error.message}", file=sys.stderr)
         return EXIT_FAILED
+    except Exception as error:
+        logs.warning(Event.STOPPED, error=repr(error), code="internal", step="run")
+        raise
     return 0
 
 
