Survive a stop in the moment in which a call times out

What callers saw: all requests that an entry had passed on ended with a closed connection as it got SIGTERM, and new ones met a closed port, instead of 3 s of further service (LOST around planned work; also a process that ends by itself).

Cause: at the stop the timeouts of the open calls are brought forward to the end of the grace. A timeout that had just fired, whose call was to end in the same turn of the event loop, can't be changed: RuntimeError: "Cannot change state of expiring Timeout". It ended Gateway.run, and the process with it. The moment is one turn of the event loop long, so it takes an entry at which calls time out, as under overload or with servers that don't answer.

Expired timeouts are left alone: their calls end by themselves, and each other timeout is still bounded. The end of the grace has moved from the gateway to a module of its own.

--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import contextlib
+import itertools
 import time
 
 import pytest
@@ -22,6 +23,7 @@
 LAME_DUCK_SECONDS = 0.8
 #: Timeout of the calls: longer than the grace.
 TIMEOUT_SECONDS = 6.0
+SLOTS = 64
 
 
 class StoppingEntry:
@@ -29,12 +31,15 @@
 
     :param reached: how many calls have reached the server.
     :param pause: seconds until the server answers.
+    :param timeouts: of the calls, in seconds, in the order of their arrival.
+    :param run: the task of the entry.
     """
 
     def __init__(self, kind, pause):
         self.route = Route("r", "h", "/", kind, TIMEOUT_SECONDS, 0.5, (Share("s", 1),))
         self.pause = pause
         self.reached = 0
+        self.timeouts = itertools.repeat(TIMEOUT_SECONDS)
 
     async def answer(self, reader, writer):
         """Answers a call as the server does, unless its caller leaves."""
@@ -50,7 +55,7 @@
 
     async def handle(self, request, respond):
         """Relays a call as the platform's handler does."""
-        call = Call("c", "h", request.method, "/x", "/x", [], b"", TIMEOUT_SECONDS)
+        call = Call("c", "h", request.method, "/x", "/x", [], b"", next(self.timeouts))
         try:
             await self.gateway.relay(call, self.route, respond)
         except VerbenaError as error:
@@ -72,7 +77,7 @@
                 grace=GRACE_SECONDS,
             )
         )
-        entries = [BackendEntry("b", "s", f"{host}:{port}", "d", 4, False)]
+        entries = [BackendEntry("b", "s", f"{host}:{port}", "d", SLOTS, False)]
 
         async def fetch():
             return entries
@@ -80,13 +85,13 @@
         settings = RelaySettings(PLAIN_DIALECT, fetch, own_address())
         self.gateway = Gateway(process, settings, ["127.0.0.1:1"])
         self.address, self.stopping = own_address(), process.stopping
-        running = asyncio.create_task(self.gateway.run(self.address, self.handle))
+        self.run = asyncio.create_task(self.gateway.run(self.address, self.handle))
         try:
             await asyncio.sleep(0.5)
             yield
         finally:
-            running.cancel()
-            await asyncio.gather(running, return_exceptions=True)
+            self.run.cancel()
+            await asyncio.gather(self.run, return_exceptions=True)
             await process.close()
             listener.close()
             # The last connections close before the loop does.
@@ -111,6 +116,11 @@
                 await writer.wait_closed()
 
 
+def occupy_loop(seconds):
+    """Lets the event loop do nothing else for some time."""
+    time.sleep(seconds)
+
+
 @pytest.mark.parametrize("kind", [RouteKind.ONCE, RouteKind.REPEATABLE])
 def test_a_call_that_outlasts_the_grace_is_answered_before_its_process_is_killed(kind):
     async def check():
@@ -147,3 +157,21 @@
             assert await entry.status(time.monotonic() + 1.0) == 200
 
     asyncio.run(check())
+
+
+def test_a_stop_while_calls_time_out_does_not_end_the_process():
+    async def check():
+        entry = StoppingEntry(RouteKind.REPEATABLE, pause=1.0)
+        entry.timeouts = iter([TIMEOUT_SECONDS, *(0.3 + 0.01 * n for n in range(30))])
+        async with entry.running():
+            until = time.monotonic() + GRACE_SECONDS
+            calls = [asyncio.create_task(entry.status(until)) for _ in range(31)]
+            await asyncio.sleep(0.4)
+            entry.stopping.set()
+            for _ in range(6):
+                await asyncio.sleep(0)
+                occupy_loop(0.02)  # Until the next call times out.
+            assert (await asyncio.gather(*calls))[0] == 200
+            await entry.run
+
+    asyncio.run(check())
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -4,7 +4,6 @@
 import contextlib
 import random
 import socket
-from collections.abc import AsyncIterator
 from enum import Enum
 from typing import Any
 
@@ -39,6 +38,7 @@
     VerbenaError,
 )
 from verbenashore.gossip import LoadReporter, node_of
+from verbenashore.grace import Grace
 from verbenashore.httpserver import Responder, ServerLimits
 from verbenashore.itemjobs import ResultsPage, SubmitItemJob, SubmitResult
 from verbenashore.keys import KeyBounds
@@ -77,9 +77,6 @@
 WHOLE_STALL_SHARE = 0.4
 #: Share of a route's objective that a call may spend in the queue; the server needs the rest.
 WAIT_SHARE = 0.75
-#: Seconds before the end of the grace at which a stopping process ends the open calls itself, so
-#: that they get an answer.
-STOP_MARGIN_SECONDS = 0.3
 #: Rank of a stream that resumes at another server; it goes before all others.
 RESUMED_RANK: Rank = (float("-inf"), 0)
 #: Longest pause in seconds between events that is assumed for a route that declares none.
@@ -290,8 +287,7 @@
         )
         self._retry_detector = RetryDetector()
         self.finder = RouteFinder(process, self._view, self._retry_detector, key_bounds)
-        self._ends_at = float("inf")
-        self._open_timeouts: set[asyncio.Timeout] = set()
+        self._grace = Grace(process.clock)
         self._nearby_address = ""
         self._nearby_reads = 0
         self._list_read_at = float("-inf")
@@ -325,7 +321,7 @@
             Event.STOPPING,
             open_calls=sum(load.online for load in self._load_table.local_by_backend.values()),
         )
-        self._bound_calls(self._process.settings.grace - STOP_MARGIN_SECONDS)
+        self._grace.start(self._process.settings.grace)
         self._update_readiness()
         self._view.set_state(MemberState.DRAINING)
         closing.set()
@@ -333,24 +329,6 @@
         stopping.set()
         await serving
 
-    def _bound_calls(self, seconds: float) -> None:
-        """Ends the open calls, and those still to come, after some seconds."""
-        self._ends_at = self._clock() + seconds
-        ends_at = asyncio.get_running_loop().time() + seconds
-        for timeout in self._open_timeouts:
-            due = timeout.when()
-            timeout.reschedule(ends_at if due is None else min(due, ends_at))
-
-    @contextlib.asynccontextmanager
-    async def _call_timeout(self, seconds: float) -> AsyncIterator[None]:
-        """Limits a call to some seconds, or to the end of this process if that comes first."""
-        async with asyncio.timeout(min(seconds, self._ends_at - self._clock())) as timeout:
-            self._open_timeouts.add(timeout)
-            try:
-                yield
-            finally:
-                self._open_timeouts.discard(timeout)
-
     async def relay(
         self, call: Call, route: Route, respond: Responder, arrived_at: float | None = None
     ) -> None:
@@ -382,10 +360,10 @@
         try:
             self._refuse_late(relay)
             with self._quota_gate.admitted(call.workspace, lambda: relay.runs > 0):
-                async with self._call_timeout(relay.deadline - self._clock()):
+                async with self._grace.limit(relay.deadline - self._clock()):
                     await self._run_attempts(relay)
         except TimeoutError:
-            outcome = "stopped" if self._ends_at < relay.deadline else "deadline"
+            outcome = "stopped" if self._grace.ends_at < relay.deadline else "deadline"
             self._log_end(Event.CALL_FAILED, relay, outcome=outcome)
             if respond.started:
                 raise ConnectionResetError from None
@@ -541,7 +519,7 @@
                 step="place",
                 retry_after=dispatch.MAX_RETRY_SECONDS,
             )
-        if not relay.route.repeatable and relay.deadline > self._ends_at:
+        if not relay.route.repeatable and relay.deadline > self._grace.ends_at:
             raise OverloadedError(
                 "this process stops", step="place", retry_after=dispatch.MIN_RETRY_SECONDS
             )
