Refuse late calls that a stopping entry may have to cut

Cause: calls that may be repeated were taken at any time of a stop. They come long after its first 3 s: a stream that began before the stop can't announce that its connection ends, so its client sends the next request on it when the stream is over, up to 5 s after the signal, and that one may take 5 s as well, of the 8 s in all. The window of 0.25 s for calls that were on their way is the same case.

Evidence: test_a_call_behind_a_stream_that_outlasts_the_lame_duck_is_not_cut; before, 3 of 3 runs were passed on and cut with a part of the answer, now 3 of 3 get a 503.

Now such a call is refused as not run if it may outlast the grace; another entry takes it at once. Calls with a shorter timeout, and all that come in the first 3 s, are served as before.

--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -24,6 +24,7 @@
 #: Timeout of the calls: longer than the grace.
 TIMEOUT_SECONDS = 6.0
 SLOTS = 64
+REQUEST = b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n"
 
 
 class StoppingEntry:
@@ -36,13 +37,17 @@
     """
 
     def __init__(self, kind, pause):
-        self.route = Route("r", "h", "/", kind, TIMEOUT_SECONDS, 0.5, (Share("s", 1),))
+        shares, resumable = (Share("s", 1),), kind is RouteKind.STREAM
+        self.route = Route("r", "h", "/", kind, TIMEOUT_SECONDS, 0.5, shares, resumable=resumable)
         self.pause = pause
         self.reached = 0
         self.timeouts = itertools.repeat(TIMEOUT_SECONDS)
 
     async def answer(self, reader, writer):
         """Answers a call as the server does, unless its caller leaves."""
+        if self.route.kind is RouteKind.STREAM:
+            await self.answer_with_events(reader, writer)
+            return
         with contextlib.suppress(ConnectionError):
             await reader.readuntil(b"\r\n\r\n")
             self.reached += 1
@@ -53,6 +58,20 @@
             await writer.drain()
         writer.close()
 
+    async def answer_with_events(self, reader, writer):
+        """Sends an event every 0.1 s until the answer has taken the pause."""
+        with contextlib.suppress(ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            self.reached += 1
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n")
+            writer.write(b"transfer-encoding: chunked\r\n\r\n")
+            for number in range(1, 1 + round(self.pause / 0.1)):
+                event = b"id: %d\ndata: x\n\n" % number
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await asyncio.sleep(0.1)
+            writer.write(b"0\r\n\r\n")
+        writer.close()
+
     async def handle(self, request, respond):
         """Relays a call as the platform's handler does."""
         call = Call("c", "h", request.method, "/x", "/x", [], b"", next(self.timeouts))
@@ -104,7 +123,7 @@
         """
         host, _, port = self.address.partition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n")
+        writer.write(REQUEST)
         try:
             async with asyncio.timeout(until - time.monotonic()):
                 return int((await reader.readuntil(b"\r\n"))[9:12])
@@ -175,3 +194,22 @@
             await entry.run
 
     asyncio.run(check())
+
+
+def test_a_call_behind_a_stream_that_outlasts_the_lame_duck_is_not_cut():
+    async def check():
+        entry = StoppingEntry(RouteKind.STREAM, pause=LAME_DUCK_SECONDS + 0.5)
+        async with entry.running():
+            host, _, port = entry.address.partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(REQUEST)
+            await reader.readuntil(b"id: 1\n")
+            entry.stopping.set()
+            await reader.readuntil(b"\r\n0\r\n\r\n")
+            writer.write(REQUEST)
+            answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 503 "), answer
+            assert entry.reached == 1
+            writer.close()
+
+    asyncio.run(check())
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -326,6 +326,7 @@
         self._view.set_state(MemberState.DRAINING)
         closing.set()
         await asyncio.sleep(self._process.settings.lame_duck)
+        self._grace.is_late = True
         stopping.set()
         await serving
 
@@ -511,7 +512,7 @@
     def _refuse_late(self, relay: Relay) -> None:
         """Refuses a call that no server has memory for, or that must not be cut by this process.
 
-        :raises OverloadedError: another entry can take a call that must not run again.
+        :raises OverloadedError: another entry can take the call.
         """
         if not self._dispatcher.fits(relay.ticket):
             raise OverloadedError(
@@ -519,7 +520,7 @@
                 step="place",
                 retry_after=dispatch.MAX_RETRY_SECONDS,
             )
-        if not relay.route.repeatable and relay.deadline > self._grace.ends_at:
+        if not self._grace.may_take(relay.deadline, repeatable=relay.route.repeatable):
             raise OverloadedError(
                 "this process stops", step="place", retry_after=dispatch.MIN_RETRY_SECONDS
             )
