Don't cut a begun stream for the queue behind it

What callers saw: a stream was broken off in its middle, 0.2 ms after its silent server had been left and 3.4 s before its deadline, although that server was sound and others were serving.

Evidence: test_a_stream_that_left_a_silent_server_is_not_cut_for_the_queue_behind_it; before: OutcomeUnknownError "queue too long" after the first event, now it is complete.

Now the call's ticket says that its caller has a part of the answer, and the expected wait doesn't refuse it; the first slot that is free goes to it, and its deadline ends it.

--- a/tests/test_relayed.py
+++ b/tests/test_relayed.py
@@ -18,6 +18,7 @@
 from verbenashore.directory import BackendEntry
 from verbenashore.exceptions import DeadlineError, OutcomeUnknownError, VerbenaError
 from verbenashore.gateway import MAX_REFUSALS
+from verbenashore.loadtable import Load, Report
 from verbenashore.logs import Event
 from verbenashore.routing import Route, RouteKind, Share
 
@@ -664,3 +665,39 @@
             return responder.status
 
     assert asyncio.run(play()) == 200
+
+
+def test_a_stream_that_left_a_silent_server_is_not_cut_for_the_queue_behind_it():
+    async def play():
+        runs = []
+
+        async def serve(reader, writer):
+            with contextlib.closing(writer):
+                await reader.readuntil(b"\r\n\r\n")
+                runs.append(writer)
+                is_first = len(runs) == 1
+                writer.write(chunks(event(len(runs)), whole=not is_first))
+                await asyncio.sleep(5.0 if is_first else 0.0)
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = listener.sockets[0].getsockname()
+        async with listener, gateway(dialect=wire.DIALECT) as entry:
+            servers = [BackendEntry(f"b{n}", "s", f"{host}:{port}", "d", 4, False) for n in (1, 2)]
+            entry._list_updater.install(servers, entry._clock())
+            full = Report("m", "i", 1, {"b2": Load(4, 0)}, waiting_by_service={"s": 500})
+            entry._load_table.record_report(full, entry._clock())
+
+            def free_slots():
+                entry._load_table.record_report(Report("m", "i", 2, {}), entry._clock())
+                entry._call_queue.poll()
+
+            asyncio.get_running_loop().call_later(0.5, free_slots)
+            call = Call("c", "h", "GET", "/l/x", "/l/x", [], b"", 5.0)
+            shares = (Share("s", 1),)
+            route = Route("r", "h", "/l/", RouteKind.STREAM, 5.0, 5.0, shares, 0, 2, True, 0.2)
+            responder = RecordingResponder()
+            await entry.relay(call, route, responder)
+            return responder
+
+    responder = asyncio.run(play())
+    assert responder.ended and responder.body == event(1) + event(2)
--- a/verbenashore/dispatch.py
+++ b/verbenashore/dispatch.py
@@ -71,6 +71,9 @@
 #: Least such time that is assumed.
 MIN_HOLD_SECONDS = 1e-3
 
+#: Rank of a call that resumes at another server; it goes before all others.
+RESUMED_RANK: Rank = (float("-inf"), 0)
+
 
 class Verdict(Enum):
     """The decision about a ticket."""
@@ -92,6 +95,7 @@
     :param workspace: whose call it is; None if it has no workspace.
     :param size: the tokens of the call.
     :param estimate: the terms by which a server was chosen last.
+    :param has_begun: whether the caller has a part of the answer.
     """
 
     id: str
@@ -104,6 +108,18 @@
     workspace: WorkspaceId | None = None
     size: PromptSize = NO_SIZE
     estimate: Estimate | None = None
+    has_begun: bool = False
+
+    def resume(self, deadline: float, refused_by: set[BackendName]) -> None:
+        """Puts a call whose caller reads an answer before all others; any wait is a gap in it.
+
+        :param deadline: when the call times out.
+        :param refused_by: the servers that did not run it.  They may have a free slot again.
+        """
+        self.has_begun = True
+        self.rank = RESUMED_RANK
+        self.soft_deadline = self.hard_deadline = deadline
+        self.excluded -= refused_by
 
 
 class Decision(msgspec.Struct, frozen=True):
@@ -215,7 +231,11 @@
         if not ticket.accepts_late and self._lacks_memory(ticket):
             return Decision(Verdict.REFUSED, None, MAX_RETRY_SECONDS, "no idle server")
         wait = self.expected_wait(ticket.service, ticket, now)
-        if now + wait > (ticket.hard_deadline if ticket.accepts_late else ticket.soft_deadline):
+        # A call that has begun goes before those that make the wait long, and its caller can't be
+        # told to come again.
+        if not ticket.has_begun and now + wait > (
+            ticket.hard_deadline if ticket.accepts_late else ticket.soft_deadline
+        ):
             is_limited = self._lost_rate(ticket.service) > 0
             reason = "the servers' rates are used up" if is_limited else "queue too long"
             return Decision(Verdict.REFUSED, None, self._retry_after(wait), reason)
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -63,7 +63,6 @@
     MemberRole,
     MemberState,
     Prompt,
-    Rank,
     WorkspaceId,
 )
 from verbenashore.view import SystemView
@@ -77,8 +76,6 @@
 WHOLE_STALL_SHARE = 0.4
 #: Share of a route's objective that a call may spend in the queue; the server needs the rest.
 WAIT_SHARE = 0.75
-#: Rank of a stream that resumes at another server; it goes before all others.
-RESUMED_RANK: Rank = (float("-inf"), 0)
 #: Longest pause in seconds between events that is assumed for a route that declares none.
 DEFAULT_PAUSE_SECONDS = 1.0
 #: Limit in bytes of a request's head until the configured one is known.  It is far above what
@@ -561,11 +558,7 @@
             relay.refusals += 1
             relay.refused_by.add(server.name)
         if relay.respond.started:
-            # The caller is reading a response, and any time in the queue is a gap in it.
-            relay.ticket.rank = RESUMED_RANK
-            relay.ticket.soft_deadline = relay.ticket.hard_deadline = relay.deadline
-            # Servers that were full may have a free slot before the caller's time is over.
-            relay.ticket.excluded -= relay.refused_by
+            relay.ticket.resume(relay.deadline, relay.refused_by)
         relay.ticket.accepts_late = relay.ticket.accepts_late or relay.runs > 0
         self._prober.record_error(server.name, error)
         logs.info(
