Serve connections that are accepted in the turn of a stop

What callers saw: a request sent on a new connection as an entry or a ledger process stopped taking connections got no answer, and its connection stayed open until the process ended.

Cause: asyncio accepts a connection in one turn of the event loop and creates its transport in the next. If the server is closed between the two, the transport finds no server (an assertion, which asyncio logs only in debug mode) and the connection is dropped. A stop that a timer brings, as the end of the lame duck does, is in exactly this order with a connection that arrives in its turn.

Now the server first stops accepting, and is closed one turn later; connections that arrive between the two are in the queue of the kernel, which is served as before.

--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -61,7 +61,8 @@
 @pytest.mark.parametrize(
     "send", [connect_and_send, accepted_and_send, served_before_and_send], ids=lambda s: s.__name__
 )
-def test_a_request_that_was_sent_before_the_stop_is_not_reset(send):
+@pytest.mark.parametrize("turns", [0, 1])
+def test_a_request_that_was_sent_before_the_stop_is_not_reset(send, turns):
     async def handle(_request, respond):
         await respond.send_response(200, "text/plain", b"whole")
 
@@ -71,7 +72,11 @@
         serving = asyncio.create_task(httpserver.serve(listener, handle, stopping))
         await asyncio.sleep(0.05)
         caller = await send(listener)
-        stopping.set()
+        if turns:
+            # The event loop sees the request in the turn of the stop.
+            asyncio.get_running_loop().call_soon(stopping.set)
+        else:
+            stopping.set()
         await serving
         return caller
 
--- a/verbenashore/httpserver.py
+++ b/verbenashore/httpserver.py
@@ -350,6 +350,9 @@
     try:
         await stopping.wait()
         closing.set()
+        # Closing the server would drop connections that were accepted in the last turn.
+        asyncio.get_running_loop().remove_reader(server.sockets[0].fileno())
+        await asyncio.sleep(0)
         server.close()
         for caller in _accept_all(queue):
             misc.spawn(serve_queued(caller), tasks)
