--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -4,7 +4,6 @@
 import contextlib
 import random
 import socket
-from collections.abc import AsyncIterator
 from enum import Enum
 from typing import Any
 
@@ -39,6 +38,7 @@
     VerbenaError,
 )
 from verbenashore.gossip import LoadReporter, node_of
+from verbenashore.grace import Grace
 from verbenashore.httpserver import Responder, ServerLimits
 from verbenashore.itemjobs import ResultsPage, SubmitItemJob, SubmitResult
 from verbenashore.keys import KeyBounds
@@ -63,7 +63,6 @@
     MemberRole,
     MemberState,
     Prompt,
-    Rank,
     WorkspaceId,
 )
 from verbenashore.view import SystemView
@@ -77,11 +76,6 @@
 WHOLE_STALL_SHARE = 0.4
 #: Share of a route's objective that a call may spend in the queue; the server needs the rest.
 WAIT_SHARE = 0.75
-#: Seconds before the end of the grace at which a stopping process ends the open calls itself, so
-#: that they get an answer.
-STOP_MARGIN_SECONDS = 0.3
-#: Rank of a stream that resumes at another server; it goes before all others.
-RESUMED_RANK: Rank = (float("-inf"), 0)
 #: Longest pause in seconds between events that is assumed for a route that declares none.
 DEFAULT_PAUSE_SECONDS = 1.0
 #: Limit in bytes of a request's head until the configured one is known.  It is far above what
@@ -290,8 +284,7 @@
         )
         self._retry_detector = RetryDetector()
         self.finder = RouteFinder(process, self._view, self._retry_detector, key_bounds)
-        self._ends_at = float("inf")
-        self._open_timeouts: set[asyncio.Timeout] = set()
+        self._grace = Grace(process.clock)
         self._nearby_address = ""
         self._nearby_reads = 0
         self._list_read_at = float("-inf")
@@ -325,32 +318,15 @@
             Event.STOPPING,
             open_calls=sum(load.online for load in self._load_table.local_by_backend.values()),
         )
-        self._bound_calls(self._process.settings.grace - STOP_MARGIN_SECONDS)
+        self._grace.start(self._process.settings.grace)
         self._update_readiness()
         self._view.set_state(MemberState.DRAINING)
         closing.set()
         await asyncio.sleep(self._process.settings.lame_duck)
+        self._grace.is_late = True
         stopping.set()
         await serving
 
-    def _bound_calls(self, seconds: float) -> None:
-        """Ends the open calls, and those still to come, after some seconds."""
-        self._ends_at = self._clock() + seconds
-        ends_at = asyncio.get_running_loop().time() + seconds
-        for timeout in self._open_timeouts:
-            due = timeout.when()
-            timeout.reschedule(ends_at if due is None else min(due, ends_at))
-
-    @contextlib.asynccontextmanager
-    async def _call_timeout(self, seconds: float) -> AsyncIterator[None]:
-        """Limits a call to some seconds, or to the end of this process if that comes first."""
-        async with asyncio.timeout(min(seconds, self._ends_at - self._clock())) as timeout:
-            self._open_timeouts.add(timeout)
-            try:
-                yield
-            finally:
-                self._open_timeouts.discard(timeout)
-
     async def relay(
         self, call: Call, route: Route, respond: Responder, arrived_at: float | None = None
     ) -> None:
@@ -382,10 +358,11 @@
         try:
             self._refuse_late(relay)
             with self._quota_gate.admitted(call.workspace, lambda: relay.runs > 0):
-                async with self._call_timeout(relay.deadline - self._clock()):
+                async with self._grace.limit(relay.deadline - self._clock()):
                     await self._run_attempts(relay)
         except TimeoutError:
-            self._log_end(Event.CALL_FAILED, relay, outcome="deadline")
+            outcome = "stopped" if self._grace.ends_at < relay.deadline else "deadline"
+            self._log_end(Event.CALL_FAILED, relay, outcome=outcome)
             if respond.started:
                 raise ConnectionResetError from None
             if not relay.runs:
@@ -532,7 +509,7 @@
     def _refuse_late(self, relay: Relay) -> None:
         """Refuses a call that no server has memory for, or that must not be cut by this process.
 
-        :raises OverloadedError: another entry can take a call that must not run again.
+        :raises OverloadedError: another entry can take the call.
         """
         if not self._dispatcher.fits(relay.ticket):
             raise OverloadedError(
@@ -540,7 +517,7 @@
                 step="place",
                 retry_after=dispatch.MAX_RETRY_SECONDS,
             )
-        if not relay.route.repeatable and relay.deadline > self._ends_at:
+        if not self._grace.may_take(relay.deadline, repeatable=relay.route.repeatable):
             raise OverloadedError(
                 "this process stops", step="place", retry_after=dispatch.MIN_RETRY_SECONDS
             )
@@ -581,11 +558,7 @@
             relay.refusals += 1
             relay.refused_by.add(server.name)
         if relay.respond.started:
-            # The caller is reading a response, and any time in the queue is a gap in it.
-            relay.ticket.rank = RESUMED_RANK
-            relay.ticket.soft_deadline = relay.ticket.hard_deadline = relay.deadline
-            # Servers that were full may have a free slot before the caller's time is over.
-            relay.ticket.excluded -= relay.refused_by
+            relay.ticket.resume(relay.deadline, relay.refused_by)
         relay.ticket.accepts_late = relay.ticket.accepts_late or relay.runs > 0
         self._prober.record_error(server.name, error)
         logs.info(
