Refuse a request that crashed two servers, at all members, whatever kind it is

Cause: one request was recognised by the last part of its prompt only, so calls that name no parts had no identity, and the hold of the others ended after 5 s at each member by itself, in as many trials as there are members. Change: a request is known by a digest of method, host, target, caller and body. The calls of test_calls_with_a_deadly_part_... have a body of their own each now, since equal ones are one request by the new definition; its assertions are as before.

--- a/tests/loadtrees.py
+++ b/tests/loadtrees.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 
+from verbenashore.crashedcalls import CrashedCalls
 from verbenashore.gossip import MIN_INTERVAL_SECONDS, node_of
 from verbenashore.loadtable import LoadTable
 from verbenashore.loadtree import LoadTree, OwnLoad
@@ -11,18 +12,19 @@
 #: Seconds that a datagram takes within a data centre and between two.
 NEAR_SECONDS = 0.0002
 FAR_SECONDS = 0.0009
-NOTHING = OwnLoad([], {})
 
 
 class SimulatedMember:
     """One member: its load table and its place in the tree."""
 
-    def __init__(self, name, data_centre, number, passes_on_last=False):
+    def __init__(self, name, data_centre, number, clock, passes_on_last=False):
         self.node = node_of(
             name, f"10.0.{number // 250}.{number % 250}:1", data_centre, passes_on_last
         )
         self.table = LoadTable()
         self.tree = LoadTree(self.node, name, self.table)
+        self.crashed_calls = CrashedCalls(clock, name)
+        self.sent_records = 0
         self.alive = True
         self.sent = self.received = self.sent_loads = 0
 
@@ -38,9 +40,11 @@
         self.loss = loss
         self.now = 0.0
         self.members = [
-            SimulatedMember(f"entry-{n}", f"dc-{n % data_centres}", n) for n in range(count)
+            SimulatedMember(f"entry-{n}", f"dc-{n % data_centres}", n, self.elapsed)
+            for n in range(count)
         ]
-        self.members.append(SimulatedMember("ledger-0", "dc-0", count, passes_on_last=True))
+        ledger = SimulatedMember("ledger-0", "dc-0", count, self.elapsed, passes_on_last=True)
+        self.members.append(ledger)
         self.by_address = {member.node.address: member for member in self.members}
         self._events = []
         self._order = itertools.count()
@@ -56,9 +60,14 @@
     def _at(self, time, action, *arguments):
         heapq.heappush(self._events, (time, next(self._order), action, arguments))
 
-    def own_load(self, _member):
+    def elapsed(self):
+        """Returns the time of the fleet."""
+        return self.now
+
+    def own_load(self, member):
         """Returns what a member reports besides its calls."""
-        return NOTHING
+        known = member.crashed_calls
+        return OwnLoad([], {}, crashed_calls_digest=known.digest, crashed_calls=known.records())
 
     def _exchange(self, member):
         if member.alive:
@@ -69,6 +78,7 @@
 
     def _send(self, member, address, report):
         member.sent += 1
+        member.sent_records += len(report.crashed_calls)
         member.sent_loads += len(report.load_by_backend) + len(report.relayed_by_backend)
         target = self.by_address[address]
         near = target.node.position.data_centre == member.node.position.data_centre
@@ -79,7 +89,8 @@
     def _deliver(self, member, report, address):
         if member.alive:
             member.received += 1
-            member.tree.receive(report, address, self.now)
+            if member.tree.receive(report, address, self.now):
+                member.crashed_calls.merge(report.crashed_calls)
 
     def run(self, seconds, each_step=lambda now: None):
         """Runs the fleet; calls a function with the time before each event."""
--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -83,6 +83,7 @@
     :param faults: by path prefix: ``break:N`` after N events, ``reset``, ``not-run``, ``500``,
         ``422``, or ``silent``.
     :param deadly_part: a part of prompts; a call with it crashes the engine as its answer begins.
+    :param deadly_body: the body of calls that crash the engine as their answer begins.
     :param listed_name: the name in the list, which lags behind the engine's own.
     :param misdirected: how many calls it answered that were meant for another engine.
     :param says_leaving: whether its answers say that it leaves, whatever the list says.
@@ -98,6 +99,7 @@
         self.runs = []
         self.faults = {}
         self.deadly_part = ""
+        self.deadly_body = None
         self.crashed = False
         self.listed_name = None
         self.misdirected = 0
@@ -142,7 +144,10 @@
         first_event = int(request.headers.get(wire.LAST_EVENT_ID, "0")) + 1
         run = {"call": call, "first": first_event, "outcome": "cut", "headers": request.headers}
         self.runs.append(run)
-        if self.deadly_part and self.deadly_part in request.headers.get(wire.PROMPT_PREFIX, ""):
+        has_part = self.deadly_part and self.deadly_part in request.headers.get(
+            wire.PROMPT_PREFIX, ""
+        )
+        if has_part or request.body == self.deadly_body:
             await self._crash(respond)
         headers = {wire.RESPONSE_STAMP: f"stamp-{self.name}", wire.REQUEST_ID: call} | stated
         if fault == "reset":
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -609,7 +609,8 @@
         own.settle()
 
         def call(name, parts, entry):
-            return own.call(f"{STREAM}a", name, entry, **{wire.PROMPT_PREFIX: parts})
+            body = name.encode()  # No two requests with the part are alike.
+            return own.call(f"{STREAM}a", name, entry, body, **{wire.PROMPT_PREFIX: parts})
 
         def sound_id():
             return f"sound-{time.monotonic_ns()}"
@@ -639,3 +640,32 @@
             if event["name"] == "prompt_part_held" and not event["one_prompt"]
         ]
         assert {event["part"] for event in held} == {"bad"}
+
+
+def test_a_request_without_a_prompt_that_crashes_engines_is_refused_at_every_entry(tmp_path):
+    """Guards against one request that crashes engine after engine, at whatever entry it comes."""
+    with Platform(tmp_path) as own:
+        own.settle()
+
+        def call(name, entry, body):
+            return own.call(f"{STREAM}a", name, entry, body)
+
+        def restart_engines():
+            for engine in model_engines(own):
+                if engine.crashed:
+                    own.serve(engine)
+            for entry in ("entry-0", "entry-1"):
+                wait_until(lambda entry=entry: call(f"{time.monotonic()}", entry, b"y")[0] == 200)
+
+        for engine in model_engines(own):
+            engine.deadly_body = b"deadly"
+        statuses = []
+        for n in range(6):
+            status, headers, _ = call(f"deadly-{n}", f"entry-{n % 2}", b"deadly")
+            statuses.append((status, float(headers.get("retry-after", 0.0)) > 0))
+            restart_engines()
+        runs = [len(own.runs(f"deadly-{n}")) for n in range(6)]
+        assert sum(runs) <= 3 and runs[3:] == [0] * 3
+        assert statuses[3:] == [(503, True)] * 3
+        refused = [e for e in own.events("entry-1") if e["name"] == "call_refused"]
+        assert any("crash under request" in event["outcome"] for event in refused)
--- a/tests/test_loadtree.py
+++ b/tests/test_loadtree.py
@@ -6,9 +6,10 @@
 import pytest
 
 from tests.loadtrees import Fleet
+from verbenashore.fingerprints import Identity
 from verbenashore.gossip import MIN_INTERVAL_SECONDS
 from verbenashore.loadtable import REPORT_SECONDS, Load, Report
-from verbenashore.loadtree import FAN_OUT, PARENT_SILENT_SECONDS
+from verbenashore.loadtree import FAN_OUT, PARENT_SILENT_SECONDS, OwnLoad
 
 DATA_CENTRES = 5
 SERVERS = 40
@@ -56,6 +57,33 @@
     assert max(large[0], planned[0]) <= 1.5 * small[0]
 
 
+def test_all_members_of_a_large_fleet_refuse_a_held_request_soon_and_then_say_no_more_of_it():
+    """Guards against records of crashes in each report, for as long as they are kept."""
+    fleet = Fleet(380, DATA_CENTRES, loss=0.1)
+    fleet.run(1.0)
+    identity = Identity("GET", "h", "/bad", None, [], b"")
+    for server, member in zip(("s1", "s2"), fleet.members, strict=False):
+        member.crashed_calls.record_crash(identity, server, begun=False)
+    fleet.run(0.5)
+    assert all(member.crashed_calls.held_request(identity) for member in fleet.members)
+    fleet.run(1.0)
+    sent = sum(member.sent_records for member in fleet.members)
+    fleet.run(5.0)
+    assert sum(member.sent_records for member in fleet.members) == sent
+
+
+def test_an_earlier_build_that_states_no_digest_is_sent_no_records():
+    fleet = Fleet(2, 1)
+    first, earlier, _ = fleet.members
+    first.crashed_calls.record_crash(Identity("GET", "h", "/bad", None, [], b""), "s", begun=False)
+    own_load = fleet.own_load
+    fleet.own_load = lambda member: (
+        own_load(member) if member is first else OwnLoad([], {}, crashed_calls_digest=None)
+    )
+    fleet.run(1.0)
+    assert first.sent_records == 0 and earlier.received > 0
+
+
 @pytest.mark.parametrize("members", [1, 8, 60, 130])
 def test_all_members_learn_the_sum_over_all(members):
     fleet = Fleet(members)
--- a/tests/test_relayed.py
+++ b/tests/test_relayed.py
@@ -629,7 +629,7 @@
             route = Route("r", "h", "/l/", RouteKind.STREAM, 5.0, 5.0, (Share("s", 1),))
             with pytest.raises(OutcomeUnknownError):
                 await entry.relay(call, route, RecordingResponder())
-            return [crash.prompt for crash in entry._quarantine.evidence().crashes]
+            return [crash.prompt for crash in entry.guard.quarantine.evidence().crashes]
 
     assert asyncio.run(play()) == [("a", "own")]
 
@@ -653,7 +653,7 @@
         async with listener, gateway(dialect=wire.DIALECT) as entry:
             servers = [BackendEntry(f"b{n}", "s", f"{host}:{port}", "d", 4, False) for n in (1, 2)]
             entry._list_updater.install(servers, entry._clock())
-            entry._quarantine.record_crash("other", ("a", "own-1"))
+            entry.guard.quarantine.record_crash("other", ("a", "own-1"))
             headers = [(b"x-verbenashore-prompt-prefix", b"a:1,own-2:1")]
             call = Call("c", "h", "GET", "/l/x", "/l/x", headers, b"", 5.0)
             route = Route(
--- /dev/null
+++ b/verbenashore/crashedcalls.py
@@ -0,0 +1,251 @@
+"""Finds the requests that crash backend servers, and refuses them at all members; without I/O.
+
+The load: a request that crashes each server that runs it comes again and again, at any member, and
+each time takes up to seven sound calls with it.  A crash breaks all calls that run on the server,
+of which at most one is the cause; so a request is suspected after one crash, held after two, and
+sound as soon as one of its runs is answered.  Items of jobs are never the cause.
+
+All members hold the same records: they tell each other a digest of them in their load reports, and
+the records only while the digests differ.  All times are Unix times in seconds, because members
+compare them.
+"""
+
+from collections.abc import Callable
+from typing import NewType
+
+import msgspec
+import xxhash
+
+from verbenashore import trials
+from verbenashore.fingerprints import Fingerprint, HeadDigest, Identity, head_of
+from verbenashore.types import BackendName, MemberName, UnixClock
+
+#: Crashes after which a request is held: if none of its answers had begun, and in any case.  A call
+#: that had begun is a weaker suspect, since its server had already run it for a time.
+MIN_CRASHES = 2
+MIN_CRASHES_IF_BEGUN = 3
+#: Seconds for which a request is held after the crash that makes it held, and after each of its
+#: trials, of which at most three fall into the day after the third crash.
+HOLD_SECONDS = (60.0, 600.0, 6 * 3600.0, 24 * 3600.0)
+#: Seconds within which crashes of one server, as several members saw them, are the same.
+SAME_CRASH_SECONDS = 0.2
+#: Seconds for which a request that isn't held stays suspected.
+SUSPICION_SECONDS = 600.0
+#: Seconds after the end of a hold for which the request stays known; longer than any hold.
+MEMORY_SECONDS = 48 * 3600.0
+#: Most requests that a member knows; eight are suspected at each crash.
+MAX_RECORDS = 128
+#: Most crashes of one request that are kept; more don't make its hold longer.
+MAX_CRASHES = len(HOLD_SECONDS) + 1
+
+#: Stands for a server's name in a record.
+ServerHash = NewType("ServerHash", int)
+
+
+class CallCrash(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """A crash of a server that ran the request.
+
+    :param begun: whether the server had begun to answer it.
+    """
+
+    at: float
+    server: ServerHash
+    begun: bool = False
+
+
+class CallRecord(msgspec.Struct, frozen=True, array_like=True):
+    """What is known of one request.
+
+    :param crashes: the newest ones since its last answer, in order.
+    :param trials: how often it was tried after a hold since its last answer.
+    :param tried_at: when it was tried last.
+    :param answered_at: when it was last answered in full.
+    """
+
+    crashes: tuple[CallCrash, ...] = ()
+    trials: int = 0
+    tried_at: float = 0.0
+    answered_at: float = 0.0
+
+    @property
+    def is_held(self) -> bool:
+        """Whether calls with the request are refused, but for trials."""
+        unbegun = sum(not crash.begun for crash in self.crashes)
+        return unbegun >= MIN_CRASHES or len(self.crashes) >= MIN_CRASHES_IF_BEGUN
+
+    @property
+    def held_until(self) -> float:
+        """When the next trial may be made; only for a request that is held."""
+        step = max(len(self.crashes) - MIN_CRASHES, self.trials)
+        seconds = HOLD_SECONDS[min(step, len(HOLD_SECONDS) - 1)]
+        return max(self.crashes[-1].at, self.tried_at) + seconds
+
+    @property
+    def forgotten_at(self) -> float:
+        """When the record may be dropped."""
+        if self.is_held:
+            return self.held_until + MEMORY_SECONDS
+        newest = self.crashes[-1].at if self.crashes else self.answered_at
+        return newest + SUSPICION_SECONDS
+
+
+Records = dict[Fingerprint, CallRecord]
+
+
+class CrashedCalls:
+    """The requests under which servers crashed, as far as one member knows.
+
+    :param member: decides who makes a trial.
+    :param on_change: called with a request and its record when it is held or held longer, and with
+        None in place of the record when an answer has cleared it.
+    """
+
+    def __init__(
+        self,
+        clock: UnixClock,
+        member: MemberName,
+        on_change: Callable[
+            [Fingerprint, CallRecord | None], None
+        ] = lambda _request, _record: None,
+    ) -> None:
+        self._clock = clock
+        self._member = member
+        self._on_change = on_change
+        self._records: Records = {}
+        self._heads: set[HeadDigest] = set()
+        self._digest: int | None = 0
+        self._forgets_at = float("inf")
+
+    def record_crash(self, identity: Identity, server: BackendName, *, begun: bool) -> None:
+        """Records that a server crashed while it ran a call."""
+        crash = CallCrash(self._clock(), server_hash(server), begun)
+        self._add(identity.fingerprint(), CallRecord((crash,)))
+
+    def record_answer(self, identity: Identity) -> bool:
+        """Records that a server answered a call in full; returns whether that is news."""
+        request = identity.fingerprint_among(self._heads)
+        record = self._records.get(request) if request is not None else None
+        if request is None or record is None or not record.crashes:
+            return False
+        # Members' clocks differ, but the crashes were known before the answer ended.
+        answered_at = max(self._clock(), record.crashes[-1].at, record.tried_at)
+        return self._add(request, CallRecord(answered_at=answered_at))
+
+    def held_request(self, identity: Identity) -> tuple[Fingerprint, float] | None:
+        """Returns the request and the seconds until its next trial if a call must not run now."""
+        request = identity.fingerprint_among(self._heads)
+        record = self._records.get(request) if request is not None else None
+        if request is None or record is None or not record.is_held:
+            return None
+        now, until = self._clock(), record.held_until
+        if trials.may_try(self._member, request, until, now):
+            return None
+        return request, max(until - now, trials.WIDENING_SECONDS)
+
+    def record_start(self, identity: Identity) -> bool:
+        """Records that a call is sent to a server; returns whether it is the trial of a request."""
+        request = identity.fingerprint_among(self._heads)
+        record = self._records.get(request) if request is not None else None
+        if request is None or record is None or not record.is_held:
+            return False
+        trial = CallRecord(record.crashes, record.trials + 1, self._clock(), record.answered_at)
+        return self._add(request, trial)
+
+    def explains(self, server: BackendName, at: float) -> bool:
+        """Returns whether a held request ran on a server that crashed at the given time."""
+        wanted = server_hash(server)
+        return any(
+            crash.server == wanted and abs(crash.at - at) < SAME_CRASH_SECONDS
+            for record in self._records.values()
+            if record.is_held
+            for crash in record.crashes
+        )
+
+    def merge(self, records: Records) -> bool:
+        """Adds what another member knows; returns whether any of it is news."""
+        news = [self._add(request, record) for request, record in records.items()]
+        return any(news)
+
+    @property
+    def digest(self) -> int:
+        """The same at all members that know the same; 0 if nothing is known."""
+        self._forget()
+        if self._digest is None:
+            ordered = sorted(self._records.items())
+            self._digest = xxhash.xxh64_intdigest(msgspec.msgpack.encode(ordered))
+        return self._digest
+
+    def records(self) -> Records:
+        """Returns what this process knows, for other members."""
+        self._forget()
+        return dict(self._records)
+
+    def held_requests(self) -> list[Fingerprint]:
+        """Returns the requests that are refused, but for trials."""
+        return [request for request, record in self._records.items() if record.is_held]
+
+    def _add(self, request: Fingerprint, addition: CallRecord) -> bool:
+        """Joins a record with the known one; returns whether that changed it."""
+        known = self._records.get(request, CallRecord())
+        joined = _join(known, addition)
+        if joined == known or joined.forgotten_at <= self._clock():
+            return False
+        self._records[request] = joined
+        if len(self._records) > MAX_RECORDS:
+            least = min(self._records.items(), key=_rank)
+            del self._records[least[0]]
+        self._index()
+        if joined.is_held and (not known.is_held or joined.held_until > known.held_until):
+            self._on_change(request, joined)
+        elif known.is_held and not joined.is_held:
+            self._on_change(request, None)
+        return request in self._records
+
+    def _forget(self) -> None:
+        now = self._clock()
+        if now < self._forgets_at:
+            return
+        self._records = {
+            request: record
+            for request, record in self._records.items()
+            if record.forgotten_at > now
+        }
+        self._index()
+
+    def _index(self) -> None:
+        self._heads = {head_of(request) for request in self._records}
+        self._digest = None if self._records else 0
+        self._forgets_at = min(
+            (record.forgotten_at for record in self._records.values()), default=float("inf")
+        )
+
+
+def server_hash(server: BackendName) -> ServerHash:
+    """Returns what stands for a server in the records."""
+    return ServerHash(xxhash.xxh32_intdigest(server.encode()))
+
+
+def _rank(item: tuple[Fingerprint, CallRecord]) -> tuple[bool, float, Fingerprint]:
+    """Returns the order in which records are kept; the lowest is dropped first."""
+    request, record = item
+    return record.is_held, record.forgotten_at, request
+
+
+def _join(first: CallRecord, second: CallRecord) -> CallRecord:
+    """Returns what two members know together; the order doesn't matter."""
+    answered_at = max(first.answered_at, second.answered_at)
+    crashes: list[CallCrash] = []
+    for crash in sorted({*first.crashes, *second.crashes}):
+        if crash.at > answered_at and not any(_is_same(crash, known) for known in crashes):
+            crashes.append(crash)
+    tried = [record for record in (first, second) if record.tried_at > answered_at]
+    return CallRecord(
+        tuple(crashes[-MAX_CRASHES:]),
+        max((record.trials for record in tried), default=0),
+        max((record.tried_at for record in tried), default=0.0),
+        answered_at,
+    )
+
+
+def _is_same(first: CallCrash, second: CallCrash) -> bool:
+    return first.server == second.server and abs(first.at - second.at) < SAME_CRASH_SECONDS
--- a/verbenashore/exceptions.py
+++ b/verbenashore/exceptions.py
@@ -167,6 +167,13 @@
     http_status = 503
 
 
+class RequestHeldError(OverloadedError):
+    """The work was refused because backend servers crashed each time that they ran it."""
+
+    code = "request_held"
+    http_status = 503
+
+
 class LimitReachedError(OverloadedError):
     """The work was refused because clients use all that the process may give them."""
 
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -22,6 +22,7 @@
     transfer,
 )
 from verbenashore.backendcall import Call, Dialect, OpenCall
+from verbenashore.callguard import CallGuard, GuardedCall
 from verbenashore.callqueue import CallQueue
 from verbenashore.client import GroupClient
 from verbenashore.directory import BackendEntry, Directory
@@ -34,7 +35,6 @@
     NotFoundError,
     OutcomeUnknownError,
     OverloadedError,
-    PromptHeldError,
     UnavailableError,
     VerbenaError,
 )
@@ -48,7 +48,13 @@
 from verbenashore.logs import Event
 from verbenashore.messages import HeartbeatReply, ItemBody, ReadItemBody, ReadResults
 from verbenashore.prober import Prober
-from verbenashore.process import Process, log_speed, new_quarantine, new_rate_limits
+from verbenashore.process import (
+    Process,
+    log_speed,
+    new_crashed_calls,
+    new_quarantine,
+    new_rate_limits,
+)
 from verbenashore.quotagate import QuotaGate
 from verbenashore.retries import LATEST_START_SHARE, RetryDetector
 from verbenashore.routefinder import RouteFinder, startup_retry_seconds
@@ -62,7 +68,6 @@
     JobId,
     MemberRole,
     MemberState,
-    Prompt,
     Rank,
     WorkspaceId,
 )
@@ -157,6 +162,7 @@
     arrived_at: float
     deadline: float
     ticket: Ticket
+    guarded: GuardedCall
     respond: Responder
     runs: int = 0
     refusals: int = 0
@@ -170,7 +176,6 @@
     step: Step = Step.QUEUED
     step_since: float = 0.0
     received_at: float | None = None
-    prompt: Prompt = ()
     begun: bool = False
     kept: bool = False
 
@@ -250,7 +255,8 @@
         self._view.on_change.append(self._on_members_change)
         self._view.on_reply.append(self._on_heartbeat_reply)
         self._view.fetcher.set_handler(Document.BACKENDS, self._install_backends)
-        self._quarantine = new_quarantine(process)
+        quarantine = new_quarantine(process)
+        crashed_calls = new_crashed_calls(process)
         self._load_table = LoadTable()
         self._directory = Directory()
         self._quota_gate = QuotaGate(process)
@@ -285,9 +291,13 @@
             process.clock,
             self._on_report,
             self._dispatcher,
-            self._quarantine,
+            quarantine,
+            crashed_calls,
             usage_exchange=self._quota_gate.exchange,
         )
+        self.guard = CallGuard(
+            quarantine, crashed_calls, process.metrics, self._load_reporter.mark_changed
+        )
         self._retry_detector = RetryDetector()
         self.finder = RouteFinder(process, self._view, self._retry_detector, key_bounds)
         self._ends_at = float("inf")
@@ -375,9 +385,9 @@
             accepts_late=self._retry_detector.is_retry(call.host, call.path, call.timeout),
             workspace=call.workspace,
         )
-        relay = Relay(call, route, now, now + timeout, ticket, respond, step_since=now)
+        guarded = self.guard.guard(call, self._dialect.read_prompt(call.headers))
+        relay = Relay(call, route, now, now + timeout, ticket, guarded, respond, step_since=now)
         relay.last_event = call.last_event
-        relay.prompt = self._dialect.read_prompt(call.headers)
         ticket.size = self._dialect.read_size(call.headers)
         try:
             self._refuse_late(relay)
@@ -504,22 +514,24 @@
     async def _run_attempts(self, relay: Relay) -> None:
         while True:
             relay.set_server(BackendName(""), Step.QUEUED, self._clock())
-            self._refuse_held(relay)
+            self.guard.check(relay.guarded, relay.runs)
             server = await self._acquire_slot(relay)
             placed_at = self._clock()
             relay.set_server(server.name, Step.CONNECT, placed_at)
             try:
-                self._refuse_held(relay)
-                self._quarantine.record_start(relay.prompt)
+                self.guard.check(relay.guarded, relay.runs)
+                self.guard.record_start(relay.guarded)
                 await self._attempt_call(relay, server)
+                self.guard.record_answered(relay.guarded)
                 self._dispatcher.record_success(server.name)
                 return
             except BackendError as error:
-                has_crashed = await self._check_for_crash(relay, server, error)
+                is_suspected = await self.guard.check_for_crash(
+                    relay.guarded, server, error, begun=relay.begun
+                )
                 self._record_failure(relay, server, error)
                 if relay.respond.started and relay.is_last_attempt:
                     raise ConnectionResetError(error.message) from error
-                is_suspected = has_crashed and self._quarantine.is_suspected(relay.prompt)
                 if not error.not_run and (relay.is_last_attempt or is_suspected):
                     raise OutcomeUnknownError(
                         error.message, step=error.step, peer=server.name
@@ -545,35 +557,6 @@
                 "this process stops", step="place", retry_after=dispatch.MIN_RETRY_SECONDS
             )
 
-    def _refuse_held(self, relay: Relay) -> None:
-        """Refuses a call that shares a part of its prompt with calls that crashed servers.
-
-        :raises PromptHeldError: if the call has not run.
-        :raises OutcomeUnknownError: if it may have run.
-        """
-        held = self._quarantine.held_part(relay.prompt)
-        if held is None:
-            return
-        part, seconds = held
-        reason = f"backend servers crash under part {part} of the prompt"
-        if relay.runs:
-            raise OutcomeUnknownError(reason, step="place")
-        raise PromptHeldError(reason, step="place", retry_after=seconds)
-
-    async def _check_for_crash(
-        self, relay: Relay, server: BackendEntry, error: BackendError
-    ) -> bool:
-        """Records a crash of the server before it began to answer; returns whether it was one."""
-        if relay.begun or not await backendcall.has_crashed(server, error):
-            return False
-        self._process.metrics.count("backend_crashed")
-        logs.warning(
-            Event.BACKEND_CRASHED, server=server.name, call=relay.call.id, prompt=relay.prompt
-        )
-        self._quarantine.record_crash(server.name, relay.prompt)
-        self._load_reporter.mark_changed()
-        return True
-
     def _record_failure(self, relay: Relay, server: BackendEntry, error: BackendError) -> None:
         now = self._clock()
         relay.ticket.excluded.add(server.name)
@@ -720,8 +703,7 @@
     def _record_begun(self, relay: Relay) -> None:
         if not relay.begun:
             relay.begun = True
-            if self._quarantine.record_answer(relay.prompt):
-                self._load_reporter.mark_changed()
+            self.guard.record_begun(relay.guarded)
 
     async def _relay_whole_response(self, relay: Relay, opened: OpenCall, timer: CallTimer) -> None:
         head = opened.head
--- a/verbenashore/gossip.py
+++ b/verbenashore/gossip.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from verbenashore import logs, misc, usage
+from verbenashore.crashedcalls import CrashedCalls
 from verbenashore.dispatch import Dispatcher
 from verbenashore.loadtable import LoadTable, Position, Report
 from verbenashore.loadtree import KEEPALIVE_SECONDS, LoadTree, Node, OwnLoad
@@ -48,6 +49,7 @@
     :param dispatcher: provides this member's waiting calls and the servers that it suspects, and
         provides and takes the rates that servers state.
     :param quarantine: provides and takes the evidence against parts of prompts.
+    :param crashed_calls: provides and takes the records of requests under which servers crashed.
     :param takes_part: returns whether this member has calls of its own to report.
     :param usage_exchange: the requests of workspaces; None at a member that admits none.
     """
@@ -61,6 +63,7 @@
         on_report: Callable[[Report | None], None],
         dispatcher: Dispatcher,
         quarantine: Quarantine,
+        crashed_calls: CrashedCalls,
         takes_part: Callable[[], bool] = lambda: True,
         usage_exchange: UsageExchange | None = None,
     ) -> None:
@@ -73,6 +76,7 @@
         self._on_report = on_report
         self._dispatcher = dispatcher
         self._quarantine = quarantine
+        self._crashed_calls = crashed_calls
         self._takes_part = takes_part
         self._usage_exchange = usage_exchange
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -117,6 +121,7 @@
             return
         if self._tree.receive(report, address, self._clock()):
             is_news = self._quarantine.merge(report.evidence)
+            is_news = self._crashed_calls.merge(report.crashed_calls) or is_news
             is_news = self._dispatcher.limits.merge(report.statements) or is_news
             if is_news or self._tree.children:
                 self.mark_changed()
@@ -176,6 +181,8 @@
             dict(self._dispatcher.waiting_by_service()),
             self._quarantine.evidence(),
             self._dispatcher.limits.statements(),
+            self._crashed_calls.digest,
+            self._crashed_calls.records(),
         )
         for address, report in self._tree.due_reports(own, now):
             self._send(address, report)
--- a/verbenashore/ledgerrelay.py
+++ b/verbenashore/ledgerrelay.py
@@ -18,7 +18,7 @@
 from verbenashore.members import MemberTable
 from verbenashore.messages import Heartbeat, HeartbeatReply, ItemBody, ReadItemBody, ReadResults
 from verbenashore.prober import Prober
-from verbenashore.process import Process, new_quarantine, new_rate_limits
+from verbenashore.process import Process, new_crashed_calls, new_quarantine, new_rate_limits
 from verbenashore.replica import ReplicaRunner
 from verbenashore.routing import RouteIndex, RouteTable
 from verbenashore.types import MemberRole
@@ -102,6 +102,7 @@
             self._on_report,
             dispatcher,
             quarantine,
+            new_crashed_calls(process),
             lambda: replica_runner.serving,
         )
         self._list_updater = BackendListUpdater(
--- a/verbenashore/loadtable.py
+++ b/verbenashore/loadtable.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from verbenashore.crashedcalls import Records
 from verbenashore.quarantine import NO_EVIDENCE, Evidence
 from verbenashore.types import BackendName, MemberName, ServiceName
 
@@ -85,6 +86,9 @@
     :param leaving: true if the recipient is to forget the member.
     :param evidence: what the member knows of prompts that crash servers.
     :param statements: the request rates that servers have stated, as far as the member knows.
+    :param crashed_calls_digest: stands for all that the member knows of requests under which
+        servers crashed; None if it keeps no such records.
+    :param crashed_calls: those records, if the recipient's digest was another one.
     """
 
     member: MemberName
@@ -101,6 +105,8 @@
     leaving: bool = False
     evidence: Evidence = NO_EVIDENCE
     statements: dict[BackendName, Statement] = msgspec.field(default_factory=dict)
+    crashed_calls_digest: int | None = None
+    crashed_calls: Records = msgspec.field(default_factory=dict)
 
 
 class ReceivedReport(msgspec.Struct):
--- a/verbenashore/loadtree.py
+++ b/verbenashore/loadtree.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from verbenashore.crashedcalls import Records
 from verbenashore.loadtable import LoadTable, Position, Report, Statement
 from verbenashore.quarantine import NO_EVIDENCE, Evidence
 from verbenashore.types import BackendName, MemberName, ServiceName
@@ -61,6 +62,8 @@
     waiting_by_service: dict[ServiceName, int]
     evidence: Evidence = NO_EVIDENCE
     statements: dict[BackendName, Statement] = msgspec.field(default_factory=dict)
+    crashed_calls_digest: int = 0
+    crashed_calls: Records = msgspec.field(default_factory=dict)
 
 
 def find_parent(own: Position, nodes: Iterable[Node]) -> Node | None:
@@ -259,8 +262,17 @@
             to_parent,
             evidence=own.evidence,
             statements=own.statements,
+            crashed_calls_digest=own.crashed_calls_digest,
+            crashed_calls=own.crashed_calls if self._lacks_crashed_calls(node, own) else {},
         )
 
+    def _lacks_crashed_calls(self, node: Node, own: OwnLoad) -> bool:
+        """Returns whether a neighbour knows other crashed calls than this member."""
+        received = self._load_table.received_by_member.get(node.name)
+        if received is None or received.report.crashed_calls_digest is None:
+            return False
+        return received.report.crashed_calls_digest != own.crashed_calls_digest
+
     def _farewell(self, node: Node) -> tuple[ReportAddress, Report]:
         report = Report(
             self._own.name, self._incarnation, 0, {}, position=self._own.position, leaving=True
--- a/verbenashore/process.py
+++ b/verbenashore/process.py
@@ -13,10 +13,12 @@
 import msgspec
 import zmq.asyncio
 
-from verbenashore import budget, httpserver, logs, metrics, misc
+from verbenashore import budget, fingerprints, httpserver, logs, metrics, misc
 from verbenashore.budget import Budget, Limit
 from verbenashore.client import LinkPool
+from verbenashore.crashedcalls import CallRecord, CrashedCalls
 from verbenashore.exceptions import NotFoundError, StorageError, VerbenaError
+from verbenashore.fingerprints import Fingerprint
 from verbenashore.httpserver import Request, Responder
 from verbenashore.loadtable import LoadTable
 from verbenashore.logs import Event, LineWriter
@@ -158,6 +160,26 @@
     return Quarantine(running.unix_clock, on_change)
 
 
+def new_crashed_calls(running: Process) -> CrashedCalls:
+    """Returns the records of requests that crash servers, with a log line for each change."""
+
+    def on_change(request: Fingerprint, record: CallRecord | None) -> None:
+        name = fingerprints.log_name(request)
+        if record is None:
+            logs.info(Event.REQUEST_CLEARED, request=name)
+            return
+        running.metrics.count("request_held")
+        logs.warning(
+            Event.REQUEST_HELD,
+            request=name,
+            seconds=round(record.held_until - running.unix_clock(), 3),
+            crashes=len(record.crashes),
+            trials=record.trials,
+        )
+
+    return CrashedCalls(running.unix_clock, running.name, on_change)
+
+
 def log_speed(server: BackendName, factor: float) -> None:
     """Logs that a backend server has become much slower than the mean, or usual again."""
     event = Event.BACKEND_SLOWED if factor >= SLOW_FACTOR else Event.BACKEND_RECOVERED
