Let one member at a time try a held part, and hold no single prompt beside its request

Cause: a hold ended at each member by itself, so eight members made eight trials. The same acted on parts of prompts (60 s) and on single prompts, known by their last part (5 s). Change: the trial of a part falls to a share of the members that doubles each second, as for requests. Single prompts are no longer held by their last part, which may be a session's: their requests are recognised instead. Items have no such record; one that met two crashes which no held request explains waits 5 s, doubled each time, as its last part did before, but isn't blamed for a request on the same server. Hold.is_prompt stays in messages for earlier builds.

--- a/verbenashore/crashedcalls.py
+++ b/verbenashore/crashedcalls.py
@@ -10,7 +10,7 @@
 compare them.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NewType
 
 import msgspec
@@ -38,6 +38,11 @@
 #: Most crashes of one request that are kept; more don't make its hold longer.
 MAX_CRASHES = len(HOLD_SECONDS) + 1
 
+#: Seconds for which an item waits after its second crash that no held request explains, doubled
+#: with each further one.
+ITEM_WAIT_SECONDS = 5.0
+MAX_ITEM_WAIT_SECONDS = 60.0
+
 #: Stands for a server's name in a record.
 ServerHash = NewType("ServerHash", int)
 
@@ -89,6 +94,13 @@
         return newest + SUSPICION_SECONDS
 
 
+class ItemCrash(msgspec.Struct, frozen=True):
+    """A crash of a server that ran an item of a job."""
+
+    at: float
+    server: BackendName
+
+
 Records = dict[Fingerprint, CallRecord]
 
 
@@ -151,14 +163,26 @@
         trial = CallRecord(record.crashes, record.trials + 1, self._clock(), record.answered_at)
         return self._add(request, trial)
 
-    def explains(self, server: BackendName, at: float) -> bool:
-        """Returns whether a held request ran on a server that crashed at the given time."""
-        wanted = server_hash(server)
+    def item_crash(self, server: BackendName) -> ItemCrash:
+        """Returns the record of a crash that an item meets now."""
+        return ItemCrash(self._clock(), server)
+
+    def item_wait(self, crashes: Sequence[ItemCrash]) -> float:
+        """Returns the seconds until an item may run again, given the crashes that it has met.
+
+        Those that a held request explains don't count: it ran on the same server.
+        """
+        unexplained = [crash.at for crash in crashes if not self._explains(crash)]
+        if len(unexplained) < MIN_CRASHES:
+            return 0.0
+        wait = ITEM_WAIT_SECONDS * 2.0 ** (len(unexplained) - MIN_CRASHES)
+        return unexplained[-1] + min(wait, MAX_ITEM_WAIT_SECONDS) - self._clock()
+
+    def _explains(self, met: ItemCrash) -> bool:
+        same = CallCrash(met.at, server_hash(met.server))
         return any(
-            crash.server == wanted and abs(crash.at - at) < SAME_CRASH_SECONDS
+            record.is_held and any(_is_same(crash, same) for crash in record.crashes)
             for record in self._records.values()
-            if record.is_held
-            for crash in record.crashes
         )
 
     def merge(self, records: Records) -> bool:
--- a/verbenashore/jobrunner.py
+++ b/verbenashore/jobrunner.py
@@ -14,6 +14,7 @@
 
 from verbenashore import backendcall, itemjobs, logs, misc, routing
 from verbenashore.backendcall import Call, Dialect
+from verbenashore.crashedcalls import CrashedCalls, ItemCrash
 from verbenashore.directory import BackendEntry, Directory
 from verbenashore.dispatch import Dispatcher
 from verbenashore.events import NO_NUMBER, EventSplitter, is_event_stream
@@ -86,6 +87,7 @@
     :param failed_at: servers at which an attempt failed; they are excluded until an attempt has
         failed at all servers of the service.
     :param chain: identifies these runs in what is committed of them.
+    :param crashes: the crashes that it has met since one of its answers last began.
     """
 
     base: int = 0
@@ -99,6 +101,7 @@
     tokens: int = 0
     failed_at: set[BackendName] = msgspec.field(default_factory=set)
     chain: ChainId = msgspec.field(default_factory=lambda: ChainId(misc.random_id("chain")))
+    crashes: list[ItemCrash] = msgspec.field(default_factory=list)
 
     @property
     def events(self) -> int:
@@ -168,6 +171,7 @@
     :param ledger_time: returns the current ledger time, in which the times of jobs are given.
     :param metrics: counts and times the items of each route.
     :param quarantine: holds items whose prompts crash servers.
+    :param crashed_calls: tells of the requests that crash servers on which items run.
     """
 
     def __init__(
@@ -186,6 +190,7 @@
         ledger_time: Callable[[], float],
         metrics: Metrics,
         quarantine: Quarantine,
+        crashed_calls: CrashedCalls,
     ) -> None:
         self._dialect = dialect
         self._directory = directory
@@ -201,6 +206,7 @@
         self._ledger_time = ledger_time
         self._metrics = metrics
         self._quarantine = quarantine
+        self._crashed_calls = crashed_calls
         self._run_by_key: dict[ItemKey, Run] = {}
         self._progress_by_key: dict[ItemKey, Progress] = {}
         self._yielded_at: dict[BackendName, float] = {}
@@ -341,6 +347,8 @@
             progress = self._progress_of(key, job.items[key[1]])
             if self._quarantine.held_part(progress.prompt) is not None:
                 continue
+            if progress.crashes and self._crashed_calls.item_wait(progress.crashes) > 0.0:
+                continue
             if progress.tokens > most_tokens:
                 continue
             server = self._choose_server(service, now, progress.failed_at, progress.tokens)
@@ -492,6 +500,7 @@
         if await backendcall.has_crashed(run.server, error):
             self._metrics.count("backend_crashed")
             logs.warning(Event.BACKEND_CRASHED, **_log_fields(run), prompt=progress.prompt)
+            progress.crashes.append(self._crashed_calls.item_crash(run.server.name))
             self._quarantine.record_crash(run.server.name, progress.prompt)
             self._on_load_change()
 
@@ -671,6 +680,7 @@
 
     def _record_begun(self, run: Run, progress: Progress) -> None:
         run.begun = True
+        progress.crashes.clear()
         if self._quarantine.record_answer(progress.prompt):
             self._on_load_change()
 
--- a/verbenashore/ledgerrelay.py
+++ b/verbenashore/ledgerrelay.py
@@ -73,6 +73,7 @@
             self._on_load_change,
         )
         quarantine = new_quarantine(process)
+        crashed_calls = new_crashed_calls(process)
         self._job_runner = JobRunner(
             relay_settings.dialect,
             self._directory,
@@ -88,6 +89,7 @@
             lambda: replica_runner.ledger_time,
             process.metrics,
             quarantine,
+            crashed_calls,
         )
         self._load_reporter = LoadReporter(
             self._load_table,
@@ -102,7 +104,7 @@
             self._on_report,
             dispatcher,
             quarantine,
-            new_crashed_calls(process),
+            crashed_calls,
             lambda: replica_runner.serving,
         )
         self._list_updater = BackendListUpdater(
--- a/verbenashore/process.py
+++ b/verbenashore/process.py
@@ -154,10 +154,9 @@
             part=part,
             seconds=round(hold.until - running.unix_clock(), 3),
             number=hold.number,
-            one_prompt=hold.is_prompt,
         )
 
-    return Quarantine(running.unix_clock, on_change)
+    return Quarantine(running.unix_clock, running.name, on_change)
 
 
 def new_crashed_calls(running: Process) -> CrashedCalls:
--- a/verbenashore/quarantine.py
+++ b/verbenashore/quarantine.py
@@ -13,7 +13,8 @@
 
 import msgspec
 
-from verbenashore.types import BackendName, Prompt, PromptPart, UnixClock
+from verbenashore import trials
+from verbenashore.types import BackendName, MemberName, Prompt, PromptPart, UnixClock
 
 #: Crashes of several servers within this time in seconds count as one: servers that share a cause,
 #: such as a rack, fail together, whatever they are asked.
@@ -29,13 +30,9 @@
 #: The same for a part that answers have begun with before.
 MIN_INCIDENTS_IF_KNOWN = 5
 MIN_PROMPTS_IF_KNOWN = 3
-#: Incidents after which one prompt, recognised by its last part, is held, whichever of its parts is
-#: the cause.
-MIN_INCIDENTS_OF_PROMPT = 2
-#: Seconds for which a part and a single prompt are held at first.  After that, one more crash holds
-#: them again for twice as long, unless an answer has begun in between.
+#: Seconds for which a part is held at first.  After that, one more crash holds it again for twice
+#: as long, unless an answer has begun in between.
 HOLD_SECONDS = 60.0
-PROMPT_HOLD_SECONDS = 5.0
 MAX_HOLD_SECONDS = 3600.0
 #: Seconds between two trials of a part at one member after its hold, until an answer clears it.
 TRIAL_SECONDS = 2.0
@@ -67,13 +64,13 @@
     """Calls with a part are refused.
 
     :param number: how many holds of the part there were, this one included.
-    :param is_prompt: true if it is the last part of a prompt, and stands for that prompt.
+    :param is_prompt: for earlier builds, which also hold the last part of a prompt for itself.
     """
 
     at: float
     until: float
     number: int
-    is_prompt: bool
+    is_prompt: bool = False
 
 
 class Evidence(msgspec.Struct, frozen=True, array_like=True):
@@ -95,6 +92,7 @@
 class Quarantine:
     """The crashes and the held parts that one process knows of.
 
+    :param member: decides who makes a trial.
     :param on_change: called with a part and its hold when it is held, and with None in place of the
         hold when an answer has cleared it.
     """
@@ -102,9 +100,11 @@
     def __init__(
         self,
         clock: UnixClock,
+        member: MemberName,
         on_change: Callable[[PromptPart, Hold | None], None] = lambda _part, _hold: None,
     ) -> None:
         self._clock = clock
+        self._member = member
         self._on_change = on_change
         self._crashes: dict[Crash, None] = {}
         self._hold_by_part: dict[PromptPart, Hold] = {}
@@ -179,16 +179,16 @@
     def held_part(self, prompt: Prompt) -> tuple[PromptPart, float] | None:
         """Returns the first held part of a prompt, and the seconds until it may be tried.
 
-        After its hold a part is tried by one call at a time.
+        After its hold a part is tried by one call at a time, at first at few members.
         """
         if not self._hold_by_part:
             return None
         now = self._clock()
         return next(
             (
-                (part, end - now)
+                (part, max(self._next_trial_at(part) - now, TRIAL_SECONDS))
                 for part in prompt
-                if self._has_former_hold(part) and (end := self._next_trial_at(part)) > now
+                if self._has_former_hold(part) and not self._may_try(part, now)
             ),
             None,
         )
@@ -201,6 +201,12 @@
                 (part, now) for part in prompt if self._has_former_hold(part)
             )
 
+    def _may_try(self, part: PromptPart, now: float) -> bool:
+        if now < self._next_trial_at(part):
+            return False
+        held_until = self._hold_by_part[part].until
+        return trials.may_try(self._member, part.encode(), held_until, now)
+
     def _next_trial_at(self, part: PromptPart) -> float:
         next_trial_at = self._tried_at_by_part.get(part, float("-inf")) + TRIAL_SECONDS
         return max(self._hold_by_part[part].until, next_trial_at)
@@ -284,30 +290,21 @@
             del self._hold_by_part[min(others, key=lambda other: self._hold_by_part[other].until)]
 
     def _judge(self) -> None:
-        """Holds the parts that explain the crashes, and the prompts that met several.
+        """Holds the parts that explain the crashes.
 
         The part that explains most comes first, and the crashes that it explains don't count
         against the other parts of their prompts.
         """
         while (part := self._worst_part()) is not None:
-            self._hold(part, HOLD_SECONDS, is_prompt=False)
-        by_prompt: dict[Prompt, list[Crash]] = {}
-        for crash in self._unexplained():
-            by_prompt.setdefault(crash.prompt, []).append(crash)
-        for prompt, crashes in by_prompt.items():
-            own = prompt[-1]
-            relevant = self._relevant(own, crashes)
-            required = 1 if self._has_former_hold(own) else MIN_INCIDENTS_OF_PROMPT
-            if _incidents(relevant) >= required:
-                self._hold(own, PROMPT_HOLD_SECONDS, is_prompt=True)
-
-    def _hold(self, part: PromptPart, seconds: float, *, is_prompt: bool) -> None:
+            self._hold(part)
+
+    def _hold(self, part: PromptPart) -> None:
         now = self._clock()
         previous = self._hold_by_part.get(part)
         number = previous.number + 1 if previous is not None else 1
-        duration = min(MAX_HOLD_SECONDS, seconds * 2.0 ** min(number - 1, 16))
+        duration = min(MAX_HOLD_SECONDS, HOLD_SECONDS * 2.0 ** min(number - 1, 16))
         at = max(now, self._suspected_at_by_part.get(part, now))
-        self._install_hold(part, Hold(at, at + duration, number, is_prompt))
+        self._install_hold(part, Hold(at, at + duration, number))
 
     def _worst_part(self) -> PromptPart | None:
         """Returns the part to hold next, or None."""
