--- a/verbenashore/ledgerrelay.py
+++ b/verbenashore/ledgerrelay.py
@@ -18,7 +18,7 @@
 from verbenashore.members import MemberTable
 from verbenashore.messages import Heartbeat, HeartbeatReply, ItemBody, ReadItemBody, ReadResults
 from verbenashore.prober import Prober
-from verbenashore.process import Process, new_quarantine, new_rate_limits
+from verbenashore.process import Process, new_crashed_calls, new_quarantine, new_rate_limits
 from verbenashore.replica import ReplicaRunner
 from verbenashore.routing import RouteIndex, RouteTable
 from verbenashore.types import MemberRole
@@ -73,6 +73,7 @@
             self._on_load_change,
         )
         quarantine = new_quarantine(process)
+        crashed_calls = new_crashed_calls(process)
         self._job_runner = JobRunner(
             relay_settings.dialect,
             self._directory,
@@ -88,6 +89,7 @@
             lambda: replica_runner.ledger_time,
             process.metrics,
             quarantine,
+            crashed_calls,
         )
         self._load_reporter = LoadReporter(
             self._load_table,
@@ -102,6 +104,7 @@
             self._on_report,
             dispatcher,
             quarantine,
+            crashed_calls,
             lambda: replica_runner.serving,
         )
         self._list_updater = BackendListUpdater(
