Take no error of a server for a sound run of a request that crashed others

What callers saw: nothing yet; found in review. A request that is held, or suspected, was cleared at all members by an answer of 500 that was passed on after its last attempt, so a server that fails every call, or a trial that meets one, let the request crash two more servers, each time again. Cause: an answer relayed in full counted as a sound run, whatever its status. Change: only an answer below 500 does. A 4xx still counts, since the server has read the request and did not crash. Evidence: test_an_error_of_a_server_does_not_clear_a_request_that_crashed_others[500] failed before (0 crashes left in the record, 1 expected); [200] passed before and after.

--- a/tests/test_relayed.py
+++ b/tests/test_relayed.py
@@ -634,6 +634,31 @@
     assert asyncio.run(play()) == [("a", "own")]
 
 
+@pytest.mark.parametrize("status", [500, 200])
+def test_an_error_of_a_server_does_not_clear_a_request_that_crashed_others(status):
+    """Guards against a failing server that makes a request that crashes the others look sound."""
+
+    async def play():
+        async def serve(reader, writer):
+            with contextlib.closing(writer):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(head(status, "text/plain", "content-length: 1") + b"x")
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = listener.sockets[0].getsockname()
+        async with listener, gateway(dialect=wire.DIALECT) as entry:
+            server = BackendEntry("b", "s", f"{host}:{port}", "d", 4, False)
+            entry._list_updater.install([server], entry._clock())
+            call = Call("c", "h", "GET", "/l/x", "/l/x", [], b"", 5.0)
+            route = Route("r", "h", "/l/", RouteKind.REPEATABLE, 5.0, 5.0, (Share("s", 1),), 1)
+            records = entry.guard.crashed_calls
+            records.record_crash(entry.guard.guard(call, ()).identity, "a", begun=False)
+            await entry.relay(call, route, RecordingResponder())
+            return [len(record.crashes) for record in records.records().values()]
+
+    assert asyncio.run(play()) == ([1] if status == 500 else [0])
+
+
 def test_a_suspected_call_whose_server_only_stalls_moves_on():
     """Guards sound calls that share a part with one crash, and lost their retry by any failure."""
 
--- a/verbenashore/callguard.py
+++ b/verbenashore/callguard.py
@@ -24,6 +24,9 @@
 from verbenashore.quarantine import Quarantine
 from verbenashore.types import BackendName, Prompt
 
+#: The least HTTP status that says that the server failed.
+SERVER_ERROR = 500
+
 
 class GuardedCall(msgspec.Struct):
     """What a call is recognised by.
@@ -101,9 +104,9 @@
         if self.quarantine.record_answer(call.prompt):
             self._on_news()
 
-    def record_answered(self, call: GuardedCall) -> None:
-        """Records that a server has answered a call in full."""
-        if self.crashed_calls.record_answer(call.identity):
+    def record_answered(self, call: GuardedCall, status: int) -> None:
+        """Records that a server has answered a call in full; its own failure clears nothing."""
+        if status < SERVER_ERROR and self.crashed_calls.record_answer(call.identity):
             self._on_news()
 
     async def check_for_crash(
--- a/verbenashore/gateway.py
+++ b/verbenashore/gateway.py
@@ -522,7 +522,6 @@
                 self.guard.check(relay.guarded, relay.runs)
                 self.guard.record_start(relay.guarded)
                 await self._attempt_call(relay, server)
-                self.guard.record_answered(relay.guarded)
                 self._dispatcher.record_success(server.name)
                 return
             except BackendError as error:
@@ -673,6 +672,7 @@
                     await self._relay_stream(relay, opened, timer)
                 else:
                     await self._relay_whole_response(relay, opened, timer)
+                self.guard.record_answered(relay.guarded, opened.head.status)
         except BackendError as error:
             if error.not_run:
                 relay.runs -= 1
