--- a/tests/test_crashedcalls.py
+++ b/tests/test_crashedcalls.py
@@ -99,6 +99,21 @@
     assert 1 <= runs <= 3
 
 
+@pytest.mark.parametrize("seconds", [300.0, 601.0, 3600.0])
+def test_a_request_that_comes_seldom_and_runs_once_each_time_is_held(clock, seconds):
+    """Guards against a request whose first crash is forgotten before it comes again."""
+    member = CrashedCalls(clock, "m")
+    runs, ends = 0, clock.now + 24 * 3600.0
+    while clock.now < ends:
+        clock.now += seconds
+        assert isinstance(member.digest, int)
+        if not is_held(member, "bad"):
+            member.record_start(request("bad"))
+            runs += 1
+            crash(member, clock, "bad", f"s{runs}")
+    assert runs <= 6
+
+
 def test_a_trial_that_is_not_answered_is_not_repeated_at_once(clock):
     member = CrashedCalls(clock, "m")
     crash(member, clock, "bad", "s1")
--- a/verbenashore/crashedcalls.py
+++ b/verbenashore/crashedcalls.py
@@ -30,7 +30,7 @@
 #: Seconds within which crashes of one server, as several members saw them, are the same.
 SAME_CRASH_SECONDS = 0.2
 #: Seconds for which a request that isn't held stays suspected.
-SUSPICION_SECONDS = 600.0
+SUSPICION_SECONDS = 24 * 3600.0
 #: Seconds after the end of a hold for which the request stays known; longer than any hold.
 MEMORY_SECONDS = 48 * 3600.0
 #: Most requests that a member knows; eight are suspected at each crash.
