Recognise a crash while the process itself has just stalled

What callers saw: nothing yet; found in review. A crash that its member didn't recognise counted against no request, and cost one more server. Cause: the connection that tells a crashed server from a broken connection has 50 ms. When the event loop stalls that long, its timeout and the refusal are seen in one pass, and the timeout wins. Change: a connection that times out is tried once more. A call whose connection broke and whose server has gone silent waits 50 ms longer for it. Evidence: test_a_crash_is_recognised_by_a_process_that_has_just_stalled failed before.

--- a/tests/test_backendcall.py
+++ b/tests/test_backendcall.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import pytest
 
@@ -207,3 +208,20 @@
     assert asked == [(5, 1), (0, 1), (0, 1), (6, 2)]
     with pytest.raises(BackendError):
         asyncio.run(backendcall.OpenCall(TwoParts(), None).read_whole(10, lambda _size: False))
+
+
+def test_a_crash_is_recognised_by_a_process_that_has_just_stalled():
+    """Guards against crashes of servers that go uncounted at a busy member."""
+
+    async def check():
+        listener = await asyncio.start_server(lambda _reader, _writer: None, "127.0.0.1", 0)
+        host, port = listener.sockets[0].getsockname()
+        listener.close()
+        server = BackendEntry("b", "s", f"{host}:{port}", "d", 4, False)
+        error = BackendError("broken", step="exchange", peer="b")
+        checking = asyncio.create_task(backendcall.has_crashed(server, error))
+        stall_seconds = 2 * backendcall.CRASH_CHECK_SECONDS
+        asyncio.get_running_loop().call_soon(time.sleep, stall_seconds)
+        return await checking
+
+    assert asyncio.run(check())
--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -26,6 +26,8 @@
 #: Timeout of the connection that tells a crashed server from one that only broke a connection.  The
 #: port of a crashed one is closed, and refuses within a round trip.
 CRASH_CHECK_SECONDS = 0.05
+#: Connections that are tried for it; one times out unheard if this process has just stalled.
+CRASH_CHECKS = 2
 #: Seconds between two checks whether there is room for the next part of an answer.
 ROOM_POLL_SECONDS = 0.05
 #: Steps of the errors of a connection that was established and then ended too early.  An answer
@@ -248,14 +250,18 @@
     if error.not_run or error.step not in BROKEN_STEPS:
         return False
     endpoint = parse_address(server.address)
-    try:
-        async with asyncio.timeout(CRASH_CHECK_SECONDS):
-            _, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
-    except ConnectionRefusedError:
-        return True
-    except OSError:
+    for _ in range(CRASH_CHECKS):
+        try:
+            async with asyncio.timeout(CRASH_CHECK_SECONDS):
+                _, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+        except ConnectionRefusedError:
+            return True
+        except TimeoutError:
+            continue
+        except OSError:
+            return False
+        writer.close()
         return False
-    writer.close()
     return False
 
 
