Bound the exponent of an item's wait

What callers saw: nothing yet; found in review. An item that met 1,026 crashes that no held request explains, with none of its answers begun in between, made item_wait raise OverflowError in the pass over the items at the leader. Cause: 2.0 to a power above 1023 is an error, and the bound was applied to its result. Evidence: test_an_item_that_met_very_many_crashes_still_has_a_wait failed before with OverflowError.

--- a/tests/test_crashedcalls.py
+++ b/tests/test_crashedcalls.py
@@ -9,6 +9,7 @@
 from verbenashore.crashedcalls import (
     HOLD_SECONDS,
     ITEM_WAIT_SECONDS,
+    MAX_ITEM_WAIT_SECONDS,
     MAX_RECORDS,
     SUSPICION_SECONDS,
     CrashedCalls,
@@ -190,6 +191,12 @@
     assert member.item_wait(crashes) == 2 * ITEM_WAIT_SECONDS
 
 
+def test_an_item_that_met_very_many_crashes_still_has_a_wait(clock):
+    """Guards the leader, which an error in a pass over the items would end."""
+    member = CrashedCalls(clock, "m")
+    assert member.item_wait([member.item_crash("s1")] * 1100) == MAX_ITEM_WAIT_SECONDS
+
+
 def share(members):
     """Lets the members tell each other what they know."""
     root, *children = members
--- a/verbenashore/crashedcalls.py
+++ b/verbenashore/crashedcalls.py
@@ -175,7 +175,8 @@
         unexplained = [crash.at for crash in crashes if not self._explains(crash)]
         if len(unexplained) < MIN_CRASHES:
             return 0.0
-        wait = ITEM_WAIT_SECONDS * 2.0 ** (len(unexplained) - MIN_CRASHES)
+        # An exponent above 1023 is an error.
+        wait = ITEM_WAIT_SECONDS * 2.0 ** min(len(unexplained) - MIN_CRASHES, 16)
         return unexplained[-1] + min(wait, MAX_ITEM_WAIT_SECONDS) - self._clock()
 
     def _explains(self, met: ItemCrash) -> bool:
