--- a/tests/test_crashedcalls.py
+++ b/tests/test_crashedcalls.py
@@ -9,6 +9,7 @@
 from verbenashore.crashedcalls import (
     HOLD_SECONDS,
     ITEM_WAIT_SECONDS,
+    MAX_ITEM_WAIT_SECONDS,
     MAX_RECORDS,
     SUSPICION_SECONDS,
     CrashedCalls,
@@ -99,6 +100,21 @@
     assert 1 <= runs <= 3
 
 
+@pytest.mark.parametrize("seconds", [300.0, 601.0, 3600.0])
+def test_a_request_that_comes_seldom_and_runs_once_each_time_is_held(clock, seconds):
+    """Guards against a request whose first crash is forgotten before it comes again."""
+    member = CrashedCalls(clock, "m")
+    runs, ends = 0, clock.now + 24 * 3600.0
+    while clock.now < ends:
+        clock.now += seconds
+        assert isinstance(member.digest, int)
+        if not is_held(member, "bad"):
+            member.record_start(request("bad"))
+            runs += 1
+            crash(member, clock, "bad", f"s{runs}")
+    assert runs <= 6
+
+
 def test_a_trial_that_is_not_answered_is_not_repeated_at_once(clock):
     member = CrashedCalls(clock, "m")
     crash(member, clock, "bad", "s1")
@@ -175,6 +191,21 @@
     assert member.item_wait(crashes) == 2 * ITEM_WAIT_SECONDS
 
 
+def test_an_item_that_met_crashes_runs_again_within_20_seconds(clock):
+    """Guards an item that is still owed, on a service whose servers are idle again."""
+    member, crashes = CrashedCalls(clock, "m"), []
+    for n in range(12):
+        crashes.append(member.item_crash(f"s{n}"))
+        assert member.item_wait(crashes) < 20.0
+        clock.now += 20.0
+
+
+def test_an_item_that_met_very_many_crashes_still_has_a_wait(clock):
+    """Guards the leader, which an error in a pass over the items would end."""
+    member = CrashedCalls(clock, "m")
+    assert member.item_wait([member.item_crash("s1")] * 1100) == MAX_ITEM_WAIT_SECONDS
+
+
 def share(members):
     """Lets the members tell each other what they know."""
     root, *children = members
--- a/verbenashore/crashedcalls.py
+++ b/verbenashore/crashedcalls.py
@@ -30,7 +30,7 @@
 #: Seconds within which crashes of one server, as several members saw them, are the same.
 SAME_CRASH_SECONDS = 0.2
 #: Seconds for which a request that isn't held stays suspected.
-SUSPICION_SECONDS = 600.0
+SUSPICION_SECONDS = 24 * 3600.0
 #: Seconds after the end of a hold for which the request stays known; longer than any hold.
 MEMORY_SECONDS = 48 * 3600.0
 #: Most requests that a member knows; eight are suspected at each crash.
@@ -41,7 +41,7 @@
 #: Seconds for which an item waits after its second crash that no held request explains, doubled
 #: with each further one.
 ITEM_WAIT_SECONDS = 5.0
-MAX_ITEM_WAIT_SECONDS = 60.0
+MAX_ITEM_WAIT_SECONDS = 15.0
 
 #: Stands for a server's name in a record.
 ServerHash = NewType("ServerHash", int)
@@ -175,7 +175,8 @@
         unexplained = [crash.at for crash in crashes if not self._explains(crash)]
         if len(unexplained) < MIN_CRASHES:
             return 0.0
-        wait = ITEM_WAIT_SECONDS * 2.0 ** (len(unexplained) - MIN_CRASHES)
+        # An exponent above 1023 is an error.
+        wait = ITEM_WAIT_SECONDS * 2.0 ** min(len(unexplained) - MIN_CRASHES, 16)
         return unexplained[-1] + min(wait, MAX_ITEM_WAIT_SECONDS) - self._clock()
 
     def _explains(self, met: ItemCrash) -> bool:
