--- a/tests/powerloss.py
+++ b/tests/powerloss.py
@@ -34,14 +34,14 @@
     def _count_steps(self, monkeypatch, owner, name):
         real = getattr(owner, name)
 
-        def step(*arguments):
+        def step(*arguments, **named):
             if self.steps_left == 0:
                 raise PowerLossError
             if self.steps_left is not None:
                 self.steps_left -= 1
             if name in ("rename", "unlink"):
                 self._keep_inode(arguments[-1])
-            result = real(*arguments)
+            result = real(*arguments, **named)
             if "sync" in name:
                 self._record_sync(arguments[0])
             return result
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -1,6 +1,7 @@
 """The data folder: synced data is durable, torn writes are truncated, damage is an error."""
 
 import os
+from pathlib import Path
 
 import pytest
 
@@ -149,6 +150,29 @@
     assert [(e.index, e.term) for e in recovered.entries] == [(8, 2), (9, 2)]
 
 
+def test_a_snapshot_under_way_survives_the_installation_of_a_newer_one(tmp_path, monkeypatch):
+    folder, _ = storage.open_folder(tmp_path)
+    rename = Path.rename
+
+    def rename_after_installation(path, target):
+        monkeypatch.setattr(Path, "rename", rename)
+        storage.reset_log(folder, HardState(1, "x"), Snapshot(Base(9, 1), b"newer"), [])
+        rename(path, target)
+
+    monkeypatch.setattr(Path, "rename", rename_after_installation)
+    storage.write_snapshot(folder, Snapshot(Base(5, 1), b"older"))
+    storage.close(folder)
+    assert reopen(tmp_path)[1].snapshot.data == b"newer"
+
+
+def test_a_snapshot_that_a_crash_left_unfinished_is_removed(tmp_path):
+    write_entries(tmp_path)
+    unfinished = tmp_path / "snapshot-00000000000000000009.new"
+    unfinished.write_bytes(b"part")
+    reopen(tmp_path)
+    assert not unfinished.exists()
+
+
 def test_a_full_disk_raises_an_error(tmp_path, monkeypatch):
     folder, _ = storage.open_folder(tmp_path)
 
--- a/verbenashore/storage.py
+++ b/verbenashore/storage.py
@@ -99,6 +99,8 @@
     try:
         _create_folders(path)
         folder = _load_identity(path)
+        for unfinished in path.glob("snapshot-*.new"):
+            unfinished.unlink()
         snapshot = _read_snapshot(path)
         recovered = RecoveredData(HardState(), snapshot, [], 0)
         _read_segments(folder, recovered)
@@ -145,9 +147,10 @@
 
 
 def write_snapshot(folder: DataFolder, snapshot: Snapshot) -> None:
-    """Writes a snapshot and removes the older ones; may run concurrently with :func:`write`.
+    """Writes a snapshot and removes the older ones.
 
-    A snapshot that an earlier attempt has written is not written again, so that repeating what
+    May run concurrently with :func:`write`, and with :func:`reset_log` to a newer snapshot.  A
+    snapshot that an earlier attempt has written is not written again, so that repeating what
     follows it needs no space for a second copy.
 
     :raises StorageError: if the disk fails.
@@ -162,9 +165,9 @@
             raise OSError(errno.ENOSPC, f"a snapshot of {len(data)} bytes doesn't fit")
         else:
             _write_file(target, data)
-        for older in folder.path.glob("snapshot-*"):
+        for older in folder.path.glob("snapshot-*[0-9]"):
             if older.name < target.name:
-                older.unlink()
+                older.unlink(missing_ok=True)
     except OSError as error:
         raise _storage_error(error, "snapshot", folder.path) from error
 
