--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -9,8 +9,8 @@
 from tests.gateways import gateway
 from verbenashore import keys, logs, routing
 from verbenashore.deployment import hash_key
+from verbenashore.dispatch import RESUMED_RANK
 from verbenashore.exceptions import NotFoundError, OverloadedError, UnknownKeyError
-from verbenashore.gateway import RESUMED_RANK
 from verbenashore.keys import Confirmation, KeyBounds, KeyVerdict
 from verbenashore.logs import Event
 from verbenashore.routefinder import CallOrigin
