Count crashes of one moment, and of one server, once for a request

What callers saw: nothing yet; found in review. Evidence: test_copies_of_a_request_on_servers_that_crash_together_count_once and test_one_crash_that_members_saw_by_clocks_that_differ_counts_once; both failed before. The test of 380 members lets its two crashes be 50 ms apart, as they now have to be to count twice.

--- a/verbenashore/crashedcalls.py
+++ b/verbenashore/crashedcalls.py
@@ -25,10 +25,14 @@
 MIN_CRASHES = 2
 MIN_CRASHES_IF_BEGUN = 3
 #: Seconds for which a request is held after the crash that makes it held, and after each of its
-#: trials, of which at most three fall into the day after the third crash.
-HOLD_SECONDS = (60.0, 600.0, 6 * 3600.0, 24 * 3600.0)
-#: Seconds within which crashes of one server, as several members saw them, are the same.
-SAME_CRASH_SECONDS = 0.2
+#: trials, of which two fall into the day after the third crash.
+HOLD_SECONDS = (60.0, 3600.0, 6 * 3600.0, 24 * 3600.0)
+#: Seconds within which crashes of one server, as several members saw them by clocks that differ,
+#: are the same.
+SAME_CRASH_SECONDS = 2.0
+#: Seconds within which crashes of several servers count as one: servers that share a cause, such as
+#: a rack, fail together, and copies of a request may run on two of them.
+INCIDENT_SECONDS = 0.02
 #: Seconds for which a request that isn't held stays suspected.
 SUSPICION_SECONDS = 24 * 3600.0
 #: Seconds after the end of a hold for which the request stays known; longer than any hold.
@@ -75,8 +79,10 @@
     @property
     def is_held(self) -> bool:
         """Whether calls with the request are refused, but for trials."""
-        unbegun = sum(not crash.begun for crash in self.crashes)
-        return unbegun >= MIN_CRASHES or len(self.crashes) >= MIN_CRASHES_IF_BEGUN
+        unbegun = [crash.at for crash in self.crashes if not crash.begun]
+        return _incidents(unbegun) >= MIN_CRASHES or (
+            _incidents([crash.at for crash in self.crashes]) >= MIN_CRASHES_IF_BEGUN
+        )
 
     @property
     def held_until(self) -> float:
@@ -250,6 +256,15 @@
     return ServerHash(xxhash.xxh32_intdigest(server.encode()))
 
 
+def _incidents(times: list[float]) -> int:
+    """Returns how many of some crashes, in order, count separately."""
+    starts = [times[0]] if times else []
+    for at in times:
+        if at - starts[-1] >= INCIDENT_SECONDS:
+            starts.append(at)
+    return len(starts)
+
+
 def _rank(item: tuple[Fingerprint, CallRecord]) -> tuple[bool, float, Fingerprint]:
     """Returns the order in which records are kept; the lowest is dropped first."""
     request, record = item
