Find a crash although the port closes after the connections

What callers saw: nothing by itself; a request that crashes servers reached one more of them, since one of its crashes counted as a broken connection. Cause: the sockets of a process that ends close one after the other, and the port not always first. The check that tells a crash from a broken connection came in between, and the kernel still took its connection. Change: a connection that is taken must stay open for the time of the check; one that is reset is followed by another, which a crashed server refuses. A call whose server runs and only broke its connection moves on up to 50 ms later.

--- a/tests/test_backendcall.py
+++ b/tests/test_backendcall.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -207,3 +208,15 @@
     assert asked == [(5, 1), (0, 1), (0, 1), (6, 2)]
     with pytest.raises(BackendError):
         asyncio.run(backendcall.OpenCall(TwoParts(), None).read_whole(10, lambda _size: False))
+
+
+def test_a_crash_is_found_although_the_port_closes_after_the_connections():
+    """Guards against crashes that are missed since the ended process still took a connection."""
+
+    async def play():
+        port = socket.create_server(("127.0.0.1", 0))
+        entry = BackendEntry("b", "s", f"127.0.0.1:{port.getsockname()[1]}", "d", 1, False)
+        asyncio.get_running_loop().call_later(0.01, port.close)
+        return await backendcall.has_crashed(entry, BackendError("broken", step="answer"))
+
+    assert asyncio.run(play())
--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -23,8 +23,9 @@
 ERROR_STATUS = 400
 #: Timeout of a status check, which waits for a slot like any call.
 PROBE_TIMEOUT_SECONDS = 0.4
-#: Timeout of the connection that tells a crashed server from one that only broke a connection.  The
-#: port of a crashed one is closed, and refuses within a round trip.
+#: Timeout of the check that tells a crashed server from one that only broke a connection, and for
+#: which a connection to a server that runs stays open.  The port of a crashed one refuses within a
+#: round trip, or as soon as it is closed.
 CRASH_CHECK_SECONDS = 0.05
 #: Seconds between two checks whether there is room for the next part of an answer.
 ROOM_POLL_SECONDS = 0.05
@@ -247,18 +248,30 @@
     """
     if error.not_run or error.step not in BROKEN_STEPS:
         return False
-    endpoint = parse_address(server.address)
     try:
         async with asyncio.timeout(CRASH_CHECK_SECONDS):
-            _, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+            # The connections of a process that ends may close before its port, which then takes a
+            # connection and resets it.
+            await _connect_until_closed(server.address)
+            await _connect_until_closed(server.address)
     except ConnectionRefusedError:
         return True
     except OSError:
         return False
-    writer.close()
     return False
 
 
+async def _connect_until_closed(address: str) -> None:
+    """Opens a connection and waits until the peer ends it."""
+    endpoint = parse_address(address)
+    reader, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+    try:
+        with contextlib.suppress(ConnectionResetError):
+            await reader.read(1)
+    finally:
+        writer.close()
+
+
 def failure_kind(error: BackendError) -> FailureKind:
     """Returns the kind of failure that an error stands for."""
     if isinstance(error, BackendReplacedError):
