Refuse a request that crashed two servers on the way from entries to agents, too

What callers saw: one completion that crashes engines took three of them with one call and, sent again, all six; one call of a plain service took all three of its servers. Sound requests there then found no server. Cause: the same as on relayed calls. An entry moves a completion on from a failed engine up to three times and a repeatable call up to four, and each resend begins anew: nobody remembered under which request servers had crashed. The entry knows requests by method, path, workspace and canonical body (agentguard.py), records crashes and answers in a CrashedCalls of its own, asks it before each agent, and doesn't hedge a suspect before its first token. A refused request is abandoned as not run; one whose key was used by a run before is told unavailable and released, so that the ledger never calls it not run. The end of an engine's stream without its marker, which a crash may be, has the step events, as elsewhere. What it costs: each entry learns for itself, two servers each, three if answers begin.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -4,6 +4,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import time
 from typing import Any
 
@@ -17,6 +18,8 @@
 
 LOAD_LAG_SECONDS = 2.0
 WEIGHTS_RETRY_SECONDS = 0.1
+#: The end of the prompts that crash the engine.
+DEADLY = "deadly"
 
 
 class Engine:
@@ -104,6 +107,8 @@
     async def _generate(self, request: Request, respond: Responder) -> None:
         document = json.loads(request.body)
         prompt = _prompt_text(document)
+        if prompt.endswith(DEADLY):
+            os._exit(1)
         sequence = Sequence(
             prompt,
             document.get("max_completion_tokens") or document.get("max_tokens") or 256,
--- a/standins/service.py
+++ b/standins/service.py
@@ -3,11 +3,15 @@
 import argparse
 import asyncio
 import json
+import os
 from collections import Counter
 
 from verbenashore import httpserver
 from verbenashore.httpserver import Request, Responder
 
+#: The account whose requests crash the service.
+DEADLY = "deadly"
+
 
 class CreditService:
     """Credits by account; each post adds to them, also a repeated one."""
@@ -21,6 +25,8 @@
         """Answers one request."""
         await asyncio.sleep(self._delay)
         account = request.path.rpartition("/")[2]
+        if account == DEADLY:
+            os._exit(1)
         if request.path == "/posts":
             await respond.send_json(200, dict(self._posts_by_key))
         elif request.method == "POST":
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -5,15 +5,20 @@
 
 import pytest
 
-from verbenashore import completions, placement
+from verbenashore import completions, placement, trials
+from verbenashore.agentguard import AgentGuard
+from verbenashore.crashedcalls import HOLD_SECONDS, CrashedCalls
 from verbenashore.deployment import OnlinePolicy
 from verbenashore.exceptions import (
     BackendError,
     BackendRefusedError,
     OverloadedError,
+    RequestHeldError,
     UnavailableError,
 )
+from verbenashore.link import to_error, to_failure
 from verbenashore.messages import AgentLoad, TokenChunk
+from verbenashore.metrics import Metrics
 from verbenashore.placement import Placement, Target
 from verbenashore.streams import StreamRunner
 
@@ -50,8 +55,16 @@
     return TokenChunk(position, text, 1, finish, 0, 0, LOAD)
 
 
-def run(agents, **options):
+def new_guard(clock=lambda: 1000.0):
+    """Returns an entry's evidence about requests that crash backend servers."""
+    return AgentGuard(CrashedCalls(clock, "entry"), Metrics("entry", ()))
+
+
+def run(agents, guard=None, **options):
     """Runs a generation over three agents and returns its text."""
+    guarded = (guard or new_guard()).guard_completion(
+        "r", "w", "/v1/completions", b"{}", ran_before=False
+    )
     placement_state = Placement()
     names = ["a", "b", "c"]
     targets = [Target(name, name, name, 8, "d", "default", frozenset({"m"}), "s") for name in names]
@@ -61,7 +74,7 @@
     async def read():
         runner = StreamRunner(agents, placement_state, asyncio.get_running_loop().time)
         policy = OnlinePolicy(**options)
-        parts = runner.run("r", "w", "s", call, policy)
+        parts = runner.run("r", "w", "s", call, policy, guarded)
         return "".join([chunk.text async for chunk in parts])
 
     return asyncio.run(read())
@@ -166,3 +179,40 @@
     with pytest.raises(BackendRefusedError) as failed:
         run(Agents([BackendRefusedError("too long", "b")]))
     assert failed.value.not_run
+
+
+def crash():
+    """Returns the error that reaches an entry when an engine crashed."""
+    error = BackendError("gone", step="answer")
+    error.crashed = True
+    return to_error(to_failure(error), "agent")
+
+
+def test_a_generation_that_crashed_two_engines_is_not_sent_to_a_third_or_hedged():
+    """Guards against a trial, or a resend, that takes more than one engine."""
+    now = [1000.0]
+    guard = new_guard(lambda: now[0])
+    agents = Agents([crash()], [crash()])
+    with pytest.raises(UnavailableError):
+        run(agents, guard)
+    with pytest.raises(RequestHeldError):
+        run(agents, guard)
+    assert len(agents.calls) == 2
+    now[0] += HOLD_SECONDS[0] + trials.WIDENING_SECONDS
+    slow = Agents([0.4, crash()], [part(0, "z", "stop")])
+    with pytest.raises(UnavailableError):
+        run(slow, guard, first_token_seconds=0.2)
+    assert len(slow.calls) == 1
+    with pytest.raises(RequestHeldError):
+        run(slow, guard)
+
+
+def test_a_generation_that_is_answered_between_two_crashes_is_not_held():
+    guard = new_guard()
+    for _ in range(3):
+        assert run(Agents([crash()], [part(0, "z", "stop")]), guard) == "z"
+
+
+def test_a_generation_that_was_interrupted_twice_by_crashes_goes_on():
+    agents = Agents([part(0, "x"), crash()], [part(0, "y"), crash()], [part(0, "z", "stop")])
+    assert run(agents) == "xyz"
--- a/verbenashore/agent.py
+++ b/verbenashore/agent.py
@@ -11,6 +11,7 @@
 
 from verbenashore import (
     admission,
+    backendcall,
     completions,
     deployment,
     engine,
@@ -214,7 +215,7 @@
         unit = self._new_unit(body.workspace, size, body.due_in)
         call = engine.EngineCall(body.path, body.body, body.resume_text, body.resume_tokens)
         progress_seconds = self._view.deployment.online.progress_seconds
-        async with self._slots.acquire(unit):
+        async with self._slots.acquire(unit), backendcall.marking_crashes(backend):
             position = 0
             async for part in engine.generate(backend.address, call, progress_seconds):
                 self._slots.record_tokens(unit.id, part.tokens)
@@ -276,14 +277,15 @@
         headers = {"idempotency-key": body.key, "x-workspace": body.workspace}
         if body.content_type:
             headers["content-type"] = body.content_type
-        response = await httpclient.request(
-            backend.address,
-            body.method,
-            body.target,
-            body.body,
-            seconds=self._view.deployment.online.progress_seconds,
-            headers=headers,
-        )
+        async with backendcall.marking_crashes(backend):
+            response = await httpclient.request(
+                backend.address,
+                body.method,
+                body.target,
+                body.body,
+                seconds=self._view.deployment.online.progress_seconds,
+                headers=headers,
+            )
         return CallAnswer(
             response.status, response.content_type, response.body, self._current_load()
         )
@@ -311,7 +313,9 @@
             if error.not_run:
                 raise
             logs.warning(Event.OUTCOME_UNKNOWN, record=body.record, peer=backend.address)
-            raise OutcomeUnknownError(error.message, step=error.step, peer=error.peer) from None
+            unknown = OutcomeUnknownError(error.message, step=error.step, peer=error.peer)
+            unknown.crashed = error.crashed
+            raise unknown from None
         complete = CompleteRequest(body.record, answer.status, answer.content_type, answer.body)
         await self._commit_answer(shard.propose, complete)
         return answer
--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from verbenashore import httpclient, misc
+from verbenashore.deployment import Backend
 from verbenashore.directory import BackendEntry
 from verbenashore.dispatch import FailureKind
 from verbenashore.exceptions import BackendBusyError, BackendError, BackendReplacedError
@@ -241,7 +242,7 @@
     )
 
 
-async def has_crashed(server: BackendEntry, error: BackendError) -> bool:
+async def has_crashed(server: BackendEntry | Backend, error: BackendError) -> bool:
     """Returns whether a call failed because its server crashed.
 
     Such a server has broken the call's connection, and refuses new ones.
@@ -272,6 +273,16 @@
         writer.close()
 
 
+@contextlib.asynccontextmanager
+async def marking_crashes(server: Backend) -> AsyncIterator[None]:
+    """Marks an error of the block as a crash of its server, if it was one."""
+    try:
+        yield
+    except BackendError as error:
+        error.crashed = await has_crashed(server, error)
+        raise
+
+
 def failure_kind(error: BackendError) -> FailureKind:
     """Returns the kind of failure that an error stands for."""
     if isinstance(error, BackendReplacedError):
--- a/verbenashore/crashedcalls.py
+++ b/verbenashore/crashedcalls.py
@@ -154,6 +154,11 @@
             return None
         return request, max(until - now, trials.WIDENING_SECONDS)
 
+    def is_suspected(self, identity: Identity) -> bool:
+        """Returns whether servers crashed under a call since its last answer."""
+        request = identity.fingerprint_among(self._heads)
+        return request in self._records and bool(self._records[request].crashes)
+
     def record_start(self, identity: Identity) -> bool:
         """Records that a call is sent to a server; returns whether it is the trial of a request."""
         request = identity.fingerprint_among(self._heads)
--- a/verbenashore/engine.py
+++ b/verbenashore/engine.py
@@ -142,7 +142,7 @@
             if pending.tokens and not pending.finish_reason:
                 yield pending
                 pending = GeneratedPart()
-    raise BackendError("the stream ended without its final marker", step="engine", peer=address)
+    raise BackendError("the stream ended without its final marker", step="events", peer=address)
 
 
 async def read_state(address: str) -> EngineState:
--- a/verbenashore/entry.py
+++ b/verbenashore/entry.py
@@ -7,6 +7,7 @@
 
 from verbenashore import httpserver, logs, placement, process, settings
 from verbenashore.admin import AdminInterface
+from verbenashore.agentguard import AgentGuard
 from verbenashore.batches import BatchInterface
 from verbenashore.callers import CallerDirectory
 from verbenashore.exceptions import NotFoundError
@@ -78,8 +79,16 @@
         streams = StreamRunner(running.links, self._placement, running.clock)
         streams.count = running.metrics.count
         running.start_task(streams.poll_avoided_agents())
+        guard = AgentGuard(process.new_crashed_calls(running), running.metrics)
         self._online = OnlineInterface(
-            running, self._view, self._shards, self._callers, self._limits, streams, self._placement
+            running,
+            self._view,
+            self._shards,
+            self._callers,
+            self._limits,
+            streams,
+            self._placement,
+            guard,
         )
         self._batches = BatchInterface(running, self._view, self._shards, self._callers)
         self._admin = AdminInterface(running, self._shards)
--- a/verbenashore/exceptions.py
+++ b/verbenashore/exceptions.py
@@ -9,6 +9,8 @@
     :param peer: the process or backend server involved, if any.
     :param field: the invalid input field, if any.
     :param not_run: true only if it is proved that the work was not run.
+
+    The attribute ``crashed`` is true if the backend server crashed while it ran the work.
     """
 
     code = "internal"
@@ -29,6 +31,7 @@
         self.peer = peer
         self.field = field
         self.not_run = not_run
+        self.crashed = False
 
 
 class SettingsError(VerbenaError):
--- a/verbenashore/link.py
+++ b/verbenashore/link.py
@@ -69,6 +69,7 @@
         error.not_run,
         getattr(error, "retry_after", 0.0),
         error.peer if error.code == "not_leader" else "",
+        error.crashed,
     )
 
 
@@ -79,6 +80,12 @@
 
     :param peer: the process that sent the message.
     """
+    error = _new_error(failure, peer)
+    error.crashed = failure.crashed
+    return error
+
+
+def _new_error(failure: Failure, peer: str) -> VerbenaError:
     if failure.code == exceptions.OverloadedError.code:
         return exceptions.OverloadedError(
             failure.message, step=failure.step, peer=peer, retry_after=failure.retry_after
--- a/verbenashore/messages.py
+++ b/verbenashore/messages.py
@@ -41,6 +41,7 @@
 
     :param code: the code of one of :mod:`verbenashore.exceptions`.
     :param leader_address: for ``not_leader``, where the leader is, if it is known.
+    :param crashed: whether the backend server crashed while it ran the call.
     """
 
     code: str
@@ -49,6 +50,7 @@
     not_run: bool
     retry_after: float = 0.0
     leader_address: str = ""
+    crashed: bool = False
 
 
 class ReplicaPacket(msgspec.Struct, frozen=True, array_like=True, tag="packet"):
--- a/verbenashore/online.py
+++ b/verbenashore/online.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from verbenashore import completions, deployment, limits, misc, placement
+from verbenashore.agentguard import AgentGuard
 from verbenashore.callers import CallerDirectory, idempotency_key
 from verbenashore.client import GroupClient
 from verbenashore.completions import Completion, ModelCall
@@ -19,6 +20,7 @@
     NotFoundError,
     OutcomeUnknownError,
     OverloadedError,
+    RequestHeldError,
     UnavailableError,
     VerbenaError,
 )
@@ -69,6 +71,7 @@
         usage: WorkspaceUsageTable,
         streams: StreamRunner,
         agents: Placement,
+        guard: AgentGuard,
     ) -> None:
         self._process = process
         self._view = view
@@ -77,6 +80,7 @@
         self._limits = usage
         self._streams = streams
         self._placement = agents
+        self._guard = guard
         self._holder = MemberName(process.incarnation)
 
     async def handle_request(self, request: Request, respond: Responder) -> bool:
@@ -158,20 +162,27 @@
             raise NotFoundError(
                 f"there is no model {call.model!r}", step="route", field="model", not_run=True
             )
+        content = completions.canonical_request(call)
         shard, command, keyed = self._new_accept_command(
-            workspace, request, completions.canonical_request(call), repeatable=True
+            workspace, request, content, repeatable=True
         )
         accepting = asyncio.ensure_future(self._accept(shard, command))
         try:
+            ran_before = False
             if keyed:
                 view = await accepting
+                ran_before = view.record != command.record
                 if not view.mine:
                     answer = await self._wait_for_answer(shard, workspace, view, command)
                     if answer is not None:
                         await _send_committed_answer(respond, call, view.record, answer)
                         return
+            guarded = self._guard.guard_completion(
+                command.record, workspace.name, call.path, content, ran_before=ran_before
+            )
+            policy = self._view.deployment.online
             parts = self._streams.run(
-                command.record, workspace.name, service.name, call, self._view.deployment.online
+                command.record, workspace.name, service.name, call, policy, guarded
             )
             async with contextlib.aclosing(parts):  # type: ignore[type-var]
                 await self._relay_parts(shard, accepting, call, workspace, parts, respond)
@@ -332,19 +343,27 @@
         if not view.mine:
             answer = await self._wait_for_answer(shard, workspace, view, command)
         if answer is None:
-            answer = await self._run_call(shard, call)
+            # The ledger knows whether a call that may not be repeated has run.
+            ran_before = call.repeatable and view.record != command.record
+            answer = await self._run_call(shard, call, ran_before)
         if answer is None:
             answer = await self._wait_for_answer(shard, workspace, view, command)
         if answer is None:
             raise UnavailableError("the call was not run; retry it", step="call")
         return answer
 
-    async def _run_call(self, shard: GroupClient, call: RunCall) -> Answer | None:
+    async def _run_call(self, shard: GroupClient, call: RunCall, ran_before: bool) -> Answer | None:
         """Tries a call at one agent after the other; returns None if another process runs it."""
         excluded: set[MemberName] = set()
         may_have_run = False
         error: VerbenaError = OverloadedError("no agent serves this service now", step="place")
+        guarded = self._guard.guard_call(call, ran_before=ran_before)
         for _ in range(MAX_CALL_ATTEMPTS):
+            refusal = guarded.refusal()
+            if refusal is not None:
+                error = refusal
+                may_have_run = may_have_run or not refusal.not_run
+                break
             agent = placement.choose(
                 self._placement,
                 call.service,
@@ -357,10 +376,15 @@
             if agent is None:
                 break
             try:
-                return await self._call_agent(shard, agent, call)
-            except (OutcomeUnknownError, KeyConflictError):
-                raise
+                guarded.record_start()
+                answer = await self._call_agent(shard, agent, call)
+                if answer is not None:
+                    guarded.record_answer()
+                return answer
             except VerbenaError as failure:
+                guarded.record_failure(agent.backend, failure, begun=False)
+                if isinstance(failure, OutcomeUnknownError | KeyConflictError):
+                    raise
                 error = failure
                 may_have_run = may_have_run or not failure.not_run
                 excluded.add(agent.name)
@@ -395,6 +419,8 @@
         """Ends a request that no agent answered; reports ``not_run`` only if that is committed."""
         view = await shard.propose(AbandonRequest(record), LEDGER_TIMEOUT_SECONDS)
         if isinstance(view, RequestView) and view.state is RequestState.NOT_RUN:
+            if isinstance(error, RequestHeldError):
+                raise error
             raise OverloadedError(error.message, step=error.step, peer=error.peer)
         return view.answer if isinstance(view, RequestView) else None
 
--- a/verbenashore/streams.py
+++ b/verbenashore/streams.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from verbenashore import limits, logs, misc, placement
+from verbenashore.agentguard import GuardedRequest
 from verbenashore.client import LinkPool
 from verbenashore.completions import ModelCall
 from verbenashore.deployment import OnlinePolicy
@@ -102,11 +103,12 @@
         service: str,
         call: ModelCall,
         policy: OnlinePolicy,
+        guarded: GuardedRequest,
     ) -> AsyncIterator[TokenChunk]:
         """Yields the parts of one answer, each token once and in order.
 
-        :raises OverloadedError: if no agent serves the model, or each that was tried refused the
-            request; it was not run.
+        :raises OverloadedError: if no agent serves the model, each that was tried refused the
+            request, or backend servers crash under it; it was not run.
         :raises UnavailableError: if it failed at several agents.
         :raises VerbenaError: of the last attempt, if no agent is left to try.
         :raises BackendRefusedError: if a backend server rejected it.
@@ -114,7 +116,7 @@
         """
         limits.deposit(self.retry_budget, policy.retry_share)
         limits.deposit(self.move_budget, policy.move_share)
-        return _Stream(self, record, workspace, service, call, policy).parts()
+        return _Stream(self, record, workspace, service, call, policy, guarded).parts()
 
     def choose_agent(
         self, service: str, workspace: WorkspaceId, call: ModelCall, excluded: set[MemberName]
@@ -160,6 +162,7 @@
         service: str,
         call: ModelCall,
         policy: OnlinePolicy,
+        guarded: GuardedRequest,
     ) -> None:
         self._runner = runner
         self._record = record
@@ -167,6 +170,7 @@
         self._service = service
         self._call = call
         self._policy = policy
+        self._guarded = guarded
         self._text = ""
         self._tokens = 0
         self._numbers = itertools.count()
@@ -194,6 +198,8 @@
                     continue
                 if self._accept_part(attempt, result):
                     finished = bool(result.finish)
+                    if finished:
+                        self._guarded.record_answer()
                     yield result
         finally:
             await self._cancel_attempts(list(self._attempts.values()))
@@ -216,6 +222,8 @@
         """Returns the seconds until a hedge or move; None if there is to be none."""
         if not self._policy.hedge or self._hedged or len(self._attempts) != 1:
             return None
+        if self._guarded.is_suspected and not self._tokens:
+            return None
         waited = self._runner.clock() - self._last_part_at
         pace = self._runner.typical_pace
         if self._tokens:
@@ -249,6 +257,9 @@
         return self._runner.choose_agent(self._service, self._workspace, self._call, excluded)
 
     def _start_attempt_or_fail(self, error: VerbenaError | None) -> None:
+        refusal = self._guarded.refusal()
+        if refusal is not None:
+            raise self._final_error(refusal)
         target = self._choose_agent(self._excluded)
         if target is not None:
             self._start_attempt(target)
@@ -265,6 +276,7 @@
     def _start_attempt(self, target: Target) -> None:
         attempt = Attempt(next(self._numbers), target, self._tokens)
         self._attempts[attempt.number] = attempt
+        self._guarded.record_start()
         placement.record_start(target, self._workspace)
         attempt.task = asyncio.create_task(self._forward_parts(attempt))
 
@@ -354,6 +366,8 @@
         """
         refused = isinstance(error, OverloadedError)
         rejected = isinstance(error, BackendRefusedError)
+        backend, begun = attempt.target.backend, bool(attempt.position)
+        self._guarded.record_failure(backend, error, begun=begun)
         self._discard_attempt(attempt, refused=refused or rejected)
         if rejected and not self._tokens and not self._attempts:
             error.not_run = not self._discarded_may_have_run
