--- a/tests/test_backendcall.py
+++ b/tests/test_backendcall.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 
 import pytest
@@ -225,3 +226,15 @@
         return await checking
 
     assert asyncio.run(check())
+
+
+def test_a_crash_is_found_although_the_port_closes_after_the_connections():
+    """Guards against crashes that are missed since the ended process still took a connection."""
+
+    async def play():
+        port = socket.create_server(("127.0.0.1", 0))
+        entry = BackendEntry("b", "s", f"127.0.0.1:{port.getsockname()[1]}", "d", 1, False)
+        asyncio.get_running_loop().call_later(0.01, port.close)
+        return await backendcall.has_crashed(entry, BackendError("broken", step="answer"))
+
+    assert asyncio.run(play())
--- a/tests/test_crashedcalls.py
+++ b/tests/test_crashedcalls.py
@@ -77,6 +77,14 @@
     assert is_held(member, "popular")
 
 
+def test_a_call_that_crashes_two_servers_at_once_is_held(clock):
+    member = CrashedCalls(clock, "m")
+    member.record_crash(request("bad"), "s1", begun=False)
+    clock.now += 0.001
+    member.record_crash(request("bad"), "s2", begun=False, again=True)
+    assert is_held(member, "bad")
+
+
 def test_one_crash_that_members_saw_by_clocks_that_differ_counts_once(clock):
     members = [CrashedCalls(clock, f"m{n}") for n in range(2)]
     members[0].record_crash(request("sound"), "s1", begun=False)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -46,6 +46,10 @@
             engine.faults.clear()
 
 
+#: Seconds within which an entry that is in touch must know what the other one knows.
+CONTACT_SECONDS = 3.0
+
+
 def model_engines(platform):
     """Returns the model engines."""
     return [engine for engine in platform.engines if engine.service == "lm"]
@@ -657,6 +661,9 @@
             for entry in ("entry-0", "entry-1"):
                 wait_until(lambda entry=entry: call(f"{time.monotonic()}", entry, b"y")[0] == 200)
 
+        def is_held(entry):
+            return any(event["name"] == "request_held" for event in own.events(entry))
+
         for engine in model_engines(own):
             engine.deadly_body = b"deadly"
         statuses = []
@@ -664,6 +671,7 @@
             status, headers, _ = call(f"deadly-{n}", f"entry-{n % 2}", b"deadly")
             statuses.append((status, float(headers.get("retry-after", 0.0)) > 0))
             restart_engines()
+            wait_until(lambda: is_held("entry-0") == is_held("entry-1"), CONTACT_SECONDS)
         runs = [len(own.runs(f"deadly-{n}")) for n in range(6)]
         assert sum(runs) <= 3 and runs[3:] == [0] * 3
         assert statuses[3:] == [(503, True)] * 3
--- a/verbenashore/backendcall.py
+++ b/verbenashore/backendcall.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from verbenashore import httpclient, misc
+from verbenashore.deployment import Backend
 from verbenashore.directory import BackendEntry
 from verbenashore.dispatch import FailureKind
 from verbenashore.exceptions import BackendBusyError, BackendError, BackendReplacedError
@@ -26,6 +27,9 @@
 #: Timeout of the connection that tells a crashed server from one that only broke a connection.  The
 #: port of a crashed one is closed, and refuses within a round trip.
 CRASH_CHECK_SECONDS = 0.05
+#: Seconds for which such a connection stays open.  The connections of a process that ends may close
+#: before its port, which then takes one more and resets it.
+CRASH_LINGER_SECONDS = 0.02
 #: Connections that are tried for it; one times out unheard if this process has just stalled.
 CRASH_CHECKS = 2
 #: Seconds between two checks whether there is room for the next part of an answer.
@@ -242,7 +246,7 @@
     )
 
 
-async def has_crashed(server: BackendEntry, error: BackendError) -> bool:
+async def has_crashed(server: BackendEntry | Backend, error: BackendError) -> bool:
     """Returns whether a call failed because its server crashed.
 
     Such a server has broken the call's connection, and refuses new ones.
@@ -253,18 +257,41 @@
     for _ in range(CRASH_CHECKS):
         try:
             async with asyncio.timeout(CRASH_CHECK_SECONDS):
-                _, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
+                reader, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
         except ConnectionRefusedError:
             return True
         except TimeoutError:
             continue
         except OSError:
             return False
-        writer.close()
-        return False
+        if not await _is_closed_soon(reader, writer):
+            return False
     return False
 
 
+async def _is_closed_soon(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+    """Returns whether the peer ends a connection, as a process does whose port closes last."""
+    try:
+        async with asyncio.timeout(CRASH_LINGER_SECONDS):
+            return not await reader.read(1)
+    except TimeoutError:
+        return False
+    except OSError:
+        return True
+    finally:
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def marking_crashes(server: Backend) -> AsyncIterator[None]:
+    """Marks an error of the block as a crash of its server, if it was one."""
+    try:
+        yield
+    except BackendError as error:
+        error.crashed = await has_crashed(server, error)
+        raise
+
+
 def failure_kind(error: BackendError) -> FailureKind:
     """Returns the kind of failure that an error stands for."""
     if isinstance(error, BackendReplacedError):
--- a/verbenashore/callguard.py
+++ b/verbenashore/callguard.py
@@ -32,12 +32,14 @@
     """What a call is recognised by.
 
     :param is_trial: whether it tries a request that is held.
+    :param has_crashed: whether a server has crashed under it.
     """
 
     id: str
     identity: Identity
     prompt: Prompt = ()
     is_trial: bool = False
+    has_crashed: bool = False
 
 
 class CallGuard:
@@ -121,7 +123,10 @@
         if not await backendcall.has_crashed(server, error):
             return False
         self._metrics.count("backend_crashed")
-        self.crashed_calls.record_crash(call.identity, server.name, begun=begun)
+        self.crashed_calls.record_crash(
+            call.identity, server.name, begun=begun, again=call.has_crashed
+        )
+        call.has_crashed = True
         if not begun:
             self.quarantine.record_crash(server.name, call.prompt)
         self._log_crash(call, server.name, begun)
--- a/verbenashore/crashedcalls.py
+++ b/verbenashore/crashedcalls.py
@@ -10,7 +10,7 @@
 compare them.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import NewType
 
 import msgspec
@@ -30,8 +30,8 @@
 #: Seconds within which crashes of one server, as several members saw them by clocks that differ,
 #: are the same.
 SAME_CRASH_SECONDS = 2.0
-#: Seconds within which crashes of several servers count as one: servers that share a cause, such as
-#: a rack, fail together, and copies of a request may run on two of them.
+#: Seconds within which crashes of several servers count as one, unless the same call met them:
+#: servers that share a cause, such as a rack, fail together, and copies may run on two of them.
 INCIDENT_SECONDS = 0.02
 #: Seconds for which a request that isn't held stays suspected.
 SUSPICION_SECONDS = 24 * 3600.0
@@ -54,12 +54,14 @@
 class CallCrash(msgspec.Struct, frozen=True, array_like=True, order=True):
     """A crash of a server that ran the request.
 
+    :param again: whether the same call had met a crash before, so that this is another one.
     :param begun: whether the server had begun to answer it.
     """
 
     at: float
+    again: bool
     server: ServerHash
-    begun: bool = False
+    begun: bool
 
 
 class CallRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -79,9 +81,9 @@
     @property
     def is_held(self) -> bool:
         """Whether calls with the request are refused, but for trials."""
-        unbegun = [crash.at for crash in self.crashes if not crash.begun]
-        return _incidents(unbegun) >= MIN_CRASHES or (
-            _incidents([crash.at for crash in self.crashes]) >= MIN_CRASHES_IF_BEGUN
+        unbegun = [crash for crash in self.crashes if not crash.begun]
+        return (
+            _incidents(unbegun) >= MIN_CRASHES or _incidents(self.crashes) >= MIN_CRASHES_IF_BEGUN
         )
 
     @property
@@ -134,9 +136,15 @@
         self._digest: int | None = 0
         self._forgets_at = float("inf")
 
-    def record_crash(self, identity: Identity, server: BackendName, *, begun: bool) -> None:
-        """Records that a server crashed while it ran a call."""
-        crash = CallCrash(self._clock(), server_hash(server), begun)
+    def record_crash(
+        self, identity: Identity, server: BackendName, *, begun: bool, again: bool = False
+    ) -> None:
+        """Records that a server crashed while it ran a call.
+
+        :param begun: as in :class:`CallCrash`.
+        :param again: as in :class:`CallCrash`.
+        """
+        crash = CallCrash(self._clock(), again, server_hash(server), begun)
         self._add(identity.fingerprint(), CallRecord((crash,)))
 
     def record_answer(self, identity: Identity) -> bool:
@@ -160,6 +168,11 @@
             return None
         return request, max(until - now, trials.WIDENING_SECONDS)
 
+    def is_suspected(self, identity: Identity) -> bool:
+        """Returns whether servers crashed under a call since its last answer."""
+        request = identity.fingerprint_among(self._heads)
+        return request in self._records and bool(self._records[request].crashes)
+
     def record_start(self, identity: Identity) -> bool:
         """Records that a call is sent to a server; returns whether it is the trial of a request."""
         request = identity.fingerprint_among(self._heads)
@@ -186,7 +199,7 @@
         return unexplained[-1] + min(wait, MAX_ITEM_WAIT_SECONDS) - self._clock()
 
     def _explains(self, met: ItemCrash) -> bool:
-        same = CallCrash(met.at, server_hash(met.server))
+        same = CallCrash(met.at, False, server_hash(met.server), False)
         return any(
             record.is_held and any(_is_same(crash, same) for crash in record.crashes)
             for record in self._records.values()
@@ -256,13 +269,13 @@
     return ServerHash(xxhash.xxh32_intdigest(server.encode()))
 
 
-def _incidents(times: list[float]) -> int:
+def _incidents(crashes: Iterable[CallCrash]) -> int:
     """Returns how many of some crashes, in order, count separately."""
-    starts = [times[0]] if times else []
-    for at in times:
-        if at - starts[-1] >= INCIDENT_SECONDS:
-            starts.append(at)
-    return len(starts)
+    count, start = 0, float("-inf")
+    for crash in crashes:
+        if crash.again or crash.at - start >= INCIDENT_SECONDS:
+            count, start = count + 1, crash.at
+    return count
 
 
 def _rank(item: tuple[Fingerprint, CallRecord]) -> tuple[bool, float, Fingerprint]:
