--- a/review/rig.py
+++ b/review/rig.py
@@ -247,6 +247,7 @@
         self.seeds = [self.ips[f"ledger-{n + 1}"] for n in range(min(3, ledgers))]
         self.bootstrap = True
         self.processes, self.stopped = {}, set()
+        self._all_processes, self._restarts = [], set()
         self.list_address = f"127.{self.net}.3.1:{self.port}"
         self.engines = [
             Engine(
@@ -277,15 +278,14 @@
 
     async def __aexit__(self, *_):
         self._watch.cancel()
-        for name, process in self.processes.items():
+        await asyncio.gather(self._watch, *self._restarts, return_exceptions=True)
+        for process in self._all_processes:
             if process.returncode is None:
-                process.send_signal(signal.SIGCONT)
                 process.kill()
                 await process.wait()
-            source = self.data / f"{name}.log"
-            if source.exists():
-                with contextlib.suppress(OSError):
-                    self._copy_warnings(source)
+        for name in self.processes:
+            with contextlib.suppress(OSError):
+                self._copy_warnings(self.data / f"{name}.log")
         for engine in self.engines:
             engine.crash()
         self._reserved.close()
@@ -359,6 +359,7 @@
             self.processes[name] = await asyncio.create_subprocess_exec(
                 *self.run_lines[role], cwd=ROOT, env=environment, stdout=output, stderr=output
             )
+        self._all_processes.append(self.processes[name])
         self.note("start", name)
 
     async def kill(self, name, *, wipe=False):
@@ -402,9 +403,13 @@
                 if process.returncode is not None:
                     self.note(name, "has ended with", process.returncode)
                     self.stopped.add(name)
-                    asyncio.get_running_loop().call_later(
-                        1.0, lambda name=name: asyncio.ensure_future(self.restart(name))
-                    )
+                    task = asyncio.create_task(self._restart_soon(name))
+                    self._restarts.add(task)
+                    task.add_done_callback(self._restarts.discard)
+
+    async def _restart_soon(self, name):
+        await asyncio.sleep(1.0)
+        await self.restart(name)
 
     def front(self, number=1):
         """Returns the address at which an entry serves clients."""
