--- a/review/rig.py
+++ b/review/rig.py
@@ -602,14 +602,17 @@
 
     async def play():
         rig = Rig(folder, **shape)
+        stop = asyncio.current_task().cancel
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, stop)
         try:
             async with asyncio.timeout(115), rig:
                 return rig, await case(rig, has_trouble)
         except CannotRun as error:
             rig.note("not run:", error)
             return rig, None
-        except TimeoutError:
-            rig.note("not run: the case took too long")
+        except (TimeoutError, asyncio.CancelledError):
+            rig.note("not run: the case took too long or was stopped")
             return rig, None
 
     rig, finding = asyncio.run(play())
